--- a/include/puffinhill/sender.h
+++ b/include/puffinhill/sender.h
@@ -105,6 +105,20 @@
   Micros estimate = 0;  // guess of its own work, 0: none
   bool repeat = false;  // a client's next try, or held before by a sender that died
 };
+// A message that this sender had taken on before its process ended, with its attempts, all over by now.
+struct PastAttempt {
+  std::string endpoint;  // may be listed no more, or unknown
+  Micros sent = 0;       // may be before the first turn
+  bool may_have_run = true;
+};
+struct Resumed {
+  Arrival message;
+  std::vector<PastAttempt> attempts;
+};
+// This process ends at `at`: an outcome that comes later is not heard.
+struct Stopping {
+  Micros at = 0;
+};
 struct Gone {
   std::string id;
 };  // nobody wants it any more
@@ -133,7 +147,7 @@
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event = std::variant<Arrival, Gone, Started, Outcome, Probed, ListUpdate, Wake>;
+using Event = std::variant<Arrival, Resumed, Stopping, Gone, Started, Outcome, Probed, ListUpdate, Wake>;
 
 // ---- actions
 struct Send {
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -70,6 +70,7 @@
   int open = 0;
   Micros wake_at = kNever, next_wake = kNever;
   Micros ask_at = 0;
+  Micros stop_at = kNever;  // no outcome is heard later than this
   int ask_failures = 0;
   double common_slow = 1, least_aim = 1e300;
   double dead_score = 0;  // signs of connections that die idle, decayed; the shortest that died
@@ -449,7 +450,7 @@
     if (m.cls->effect == Effect::unsafe) return false;
     for (const Attempt& a : m.attempts) {
       if (!a.may_have_run) continue;
-      if (m.cls->group != RepeatGroup::all && a.server->zone != s.zone) return false;
+      if (m.cls->group != RepeatGroup::all && (!a.server || a.server->zone != s.zone)) return false;
       if (m.cls->group == RepeatGroup::cell && a.server->dest != s.dest) return false;
       if (now > a.sent + m.cls->memory - 2 * set.tick) return false;
     }
@@ -579,6 +580,8 @@
 
   bool serverOpen(Server& s, const Message& m) {
     if (!usable(s) || !maySend(m, s)) return false;
+    // Before the process ends only what can be heard is started; guards against attempts lost in the unknown.
+    if (stop_at != kNever && now + timeoutFor(m, s) > stop_at) return false;
     const Guard& g = scope(s);
     // A message that can't be repeated is no trial: it would be lost where calls end in the unknown. It goes
     // after all when half of its time is used up.
@@ -779,6 +782,31 @@
     ++open;
     ends.insert({m.end_at, m.id});
     hold(m, now);
+    if (open > set.max_open) {
+      finish(m, true);
+      forget(m);
+    }
+  }
+
+  // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard may
+  // have run. Guards against a second effect after a restart.
+  void onResumed(const Resumed& r) {
+    onArrival(r.message);
+    auto it = messages.find(r.message.id);
+    if (it == messages.end()) return;
+    Message& m = it->second;
+    for (const PastAttempt& p : r.attempts) {
+      auto s = servers.find(p.endpoint);
+      Attempt a;
+      a.server = s == servers.end() ? nullptr : &s->second;
+      a.sent = p.sent;
+      a.out = false;
+      a.may_have_run = p.may_have_run;
+      m.attempts.push_back(a);
+    }
+    if (anySendLeft(m)) return;
+    finish(m, now < m.end_at);
+    forget(m);
   }
 
   // Near MaxOpen the least worth is refused, so that better messages are not turned away at the door. Worth
@@ -871,6 +899,8 @@
   // ==== The turn
 
   void on(const Arrival& e) { onArrival(e); }
+  void on(const Resumed& e) { onResumed(e); }
+  void on(const Stopping& e) { stop_at = e.at; }
   void on(const Outcome& e) { onOutcome(e); }
   void on(const ListUpdate& e) { onList(e); }
   void on(const Wake&) {}
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,53 @@
+// puffinhill: the RESP2 server that clients hand messages to: PING and MSG.PUT, each request answered in
+// turn.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "journal.h"
+
+namespace puffinhill {
+
+class Clients {
+ public:
+  using Reply = std::function<void(const std::string&)>;  // one RESP line without its end, called once
+  // What a client hands in; its time is still a span. Answers by the reply, now or later.
+  struct Put {
+    TakenOn message;
+    Micros may_last = 0;
+  };
+  using OnPut = std::function<void(Put, Reply)>;
+
+  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, std::size_t most,
+          OnPut on_put);  // throws when it can't listen
+  ~Clients();
+  Clients(const Clients&) = delete;
+  Clients& operator=(const Clients&) = delete;
+
+  // Closes connections between requests; those that still come or are in one are closed once answered.
+  void drain();
+  std::size_t unanswered() const { return unanswered_; }
+  unsigned short port() const;
+
+ private:
+  struct Session;
+  void accept();
+  void ended(const std::shared_ptr<Session>& s);
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::size_t most_;
+  OnPut on_put_;
+  std::set<std::shared_ptr<Session>> sessions_;
+  std::size_t unanswered_ = 0;
+  bool accepting_ = false, draining_ = false;
+};
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,161 @@
+// puffinhill: discovery; see discovery.h.
+#include "discovery.h"
+
+#include <iostream>
+
+namespace puffinhill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Micros kHold = 20'000'000;      // how long a watch call may wait for news
+constexpr Micros kSilence = 1'500'000;    // an answer that is later than its wait by this won't come
+constexpr Micros kConnect = 1'000'000;    // the agent is on this machine
+constexpr Micros kPause = 100'000;        // after a call that failed
+constexpr Micros kNoticeLimit = 500'000;  // for an answer that comes at once
+constexpr Micros kNoticePause = 50'000;
+constexpr std::size_t kListLimit = 8u << 20;
+
+EndpointState stateOf(const json& e) {
+  return oneOf<EndpointState>(text(e, "status"),
+                              {{"Ready", EndpointState::ready},
+                               {"Terminating", EndpointState::draining},
+                               {"Gone", EndpointState::gone}},
+                              "status");
+}
+
+}  // namespace
+
+EndpointList::News EndpointList::read(const json& answer) {
+  if (!answer.is_object()) bad("the list is not an object");
+  const std::int64_t index = integer(answer, "index");
+  const bool whole = truth(answer, "snapshot", false);
+  News news;
+  news.kind = whole ? ListKind::full : ListKind::delta;
+  std::map<std::string, json> changed;
+  for (const json& e : array(answer, "endpoints")) {
+    if (!e.is_object()) bad("an endpoint is not an object");
+    ListedEndpoint l;
+    l.endpoint.id = text(e, "name");
+    l.endpoint.zone = text(e, "zone", "");
+    l.endpoint.kind = text(e, "type", "");
+    l.endpoint.destination = integer(e, "group");
+    l.endpoint.weight = number(e, "weight", 0);
+    l.endpoint.state = stateOf(e);
+    l.address = text(e, "address", "");
+    changed[l.endpoint.id] = e;
+    news.entries.push_back(std::move(l));
+  }
+  if (whole) entries_.clear();
+  for (auto& [name, e] : changed) {
+    if (e["status"] == "Gone") entries_.erase(name);
+    else entries_[name] = std::move(e);
+  }
+  index_ = index;
+  return news;
+}
+
+json EndpointList::all() const {
+  json list = json::array();
+  for (const auto& [name, e] : entries_) list.push_back(e);
+  return {{"index", index_}, {"snapshot", true}, {"endpoints", std::move(list)}};
+}
+
+Watcher::Watcher(asio::io_context& io, tcp::endpoint agent, std::string host, OnAnswer on_answer)
+    : io_(io),
+      agent_(std::move(agent)),
+      host_(std::move(host)),
+      on_answer_(std::move(on_answer)),
+      timer_(io) {}
+
+void Watcher::start(std::int64_t from) {
+  from_ = from;
+  ask();
+}
+
+void Watcher::ask() {
+  HttpRequest r;
+  r.method = "GET";
+  r.target = "/v1/endpoints";
+  if (from_ >= 0) r.target += "?from=" + std::to_string(from_) + "&hold_ms=" + std::to_string(kHold / 1000);
+  if (!connection_ || !connection_->reusable())
+    connection_ = std::make_unique<HttpConnection>(io_, agent_, host_, kListLimit);
+  const Micros limit = (from_ >= 0 ? kHold : 0) + kSilence;
+  connection_->exchange(std::move(r), kConnect, limit, [this](const HttpAnswer& a) {
+    if (a.how != Exchanged::answered || a.status != 200 || !a.whole) return again(kPause);
+    try {
+      from_ = on_answer_(json::parse(a.body));
+    } catch (const std::exception& e) {
+      // Guards against one garbled answer ending the watch: the whole list is asked for afresh.
+      std::cerr << "discovery: " << e.what() << '\n';
+      from_ = -1;
+      return again(kPause);
+    }
+    ask();
+  });
+}
+
+void Watcher::again(Micros pause) {
+  connection_.reset();
+  timer_.expires_after(std::chrono::microseconds(pause));
+  timer_.async_wait([this](const boost::system::error_code& e) {
+    if (!e) ask();
+  });
+}
+
+Notices::Notices(asio::io_context& io, tcp::endpoint agent, std::string host, OnTold on_told)
+    : io_(io), agent_(std::move(agent)), host_(std::move(host)), on_told_(std::move(on_told)), timer_(io) {}
+
+void Notices::owe(const std::string& id, const Notice& notice) {
+  owed_.emplace_back(id, notice);
+  if (out_ == 0 && !waiting_) send();
+}
+
+void Notices::send() {
+  if (owed_.empty()) return;
+  out_ = std::min(owed_.size(), most_);
+  HttpRequest r;
+  r.method = "POST";
+  r.target = "/v1/notices";
+  r.fields.emplace_back("Content-Type", "application/json");
+  for (std::size_t i = 0; i < out_; ++i) {
+    json line{{"message", owed_[i].first},
+              {"outcome", owed_[i].second.handed_back ? "handed_back" : "given_up"}};
+    if (owed_[i].second.handed_back && owed_[i].second.retry_in_ms > 0)
+      line["retry_in_ms"] = owed_[i].second.retry_in_ms;
+    r.body += line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
+  }
+  if (!connection_ || !connection_->reusable())
+    connection_ = std::make_unique<HttpConnection>(io_, agent_, host_, 65536);
+  connection_->exchange(std::move(r), kConnect, kNoticeLimit, [this](const HttpAnswer& a) {
+    const std::size_t told = out_;
+    out_ = 0;
+    const bool unreadable = a.how == Exchanged::answered && a.status == 400;
+    if (unreadable && told > 1) {  // one bad line must not hold up the others
+      most_ = 1;
+      return send();
+    }
+    if (unreadable) std::cerr << "notice that can't be read, of message " << owed_.front().first << '\n';
+    if (!unreadable && (a.how != Exchanged::answered || a.status / 100 != 2)) return again(kNoticePause);
+    for (std::size_t i = 0; i < told; ++i) {
+      on_told_(owed_.front().first);
+      owed_.pop_front();
+    }
+    if (owed_.empty()) most_ = 64;
+    send();
+  });
+}
+
+void Notices::again(Micros pause) {
+  connection_.reset();
+  waiting_ = true;
+  timer_.expires_after(std::chrono::microseconds(pause));
+  timer_.async_wait([this](const boost::system::error_code& e) {
+    if (e) return;
+    waiting_ = false;
+    send();
+  });
+}
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,82 @@
+// puffinhill: discovery: the watch that brings the list of endpoints, and the notices that tell the platform
+// how messages ended.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "../json_fields.h"
+#include "http.h"
+#include "journal.h"
+
+namespace puffinhill {
+
+struct ListedEndpoint {
+  Endpoint endpoint;
+  std::string address;
+};
+
+// The list as discovery last told it, in discovery's form.
+class EndpointList {
+ public:
+  struct News {
+    ListKind kind = ListKind::delta;
+    std::vector<ListedEndpoint> entries;
+  };
+  News read(const json& answer);  // throws BadInput when it can't be read; then nothing has changed
+  json all() const;
+  std::int64_t index() const { return index_; }
+  bool empty() const { return entries_.empty(); }
+
+ private:
+  std::int64_t index_ = -1;
+  std::map<std::string, json> entries_;
+};
+
+class Watcher {
+ public:
+  using OnAnswer = std::function<std::int64_t(const json&)>;  // answers the version from which to go on
+  Watcher(boost::asio::io_context& io, tcp::endpoint agent, std::string host, OnAnswer on_answer);
+  void start(std::int64_t from);
+
+ private:
+  void ask();
+  void again(Micros pause);
+
+  boost::asio::io_context& io_;
+  tcp::endpoint agent_;
+  std::string host_;
+  OnAnswer on_answer_;
+  std::unique_ptr<HttpConnection> connection_;
+  boost::asio::steady_timer timer_;
+  std::int64_t from_ = -1;
+};
+
+// Sends notices until each has been answered, however often that takes.
+class Notices {
+ public:
+  using OnTold = std::function<void(const std::string& id)>;
+  Notices(boost::asio::io_context& io, tcp::endpoint agent, std::string host, OnTold on_told);
+  void owe(const std::string& id, const Notice& notice);
+  std::size_t owed() const { return owed_.size(); }
+
+ private:
+  void send();
+  void again(Micros pause);
+
+  boost::asio::io_context& io_;
+  tcp::endpoint agent_;
+  std::string host_;
+  OnTold on_told_;
+  std::unique_ptr<HttpConnection> connection_;
+  boost::asio::steady_timer timer_;
+  std::deque<std::pair<std::string, Notice>> owed_;
+  std::size_t out_ = 0;    // the first so many are being told
+  std::size_t most_ = 64;  // at once; one by one after a batch that could not be read
+  bool waiting_ = false;
+};
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/endpoints.cpp
@@ -0,0 +1,193 @@
+// puffinhill: calls to endpoints; see endpoints.h.
+#include "endpoints.h"
+
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <cmath>
+#include <cstdlib>
+
+namespace puffinhill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kBodyLimit = 65536;
+constexpr Micros kLongestWait = 24LL * 3600 * 1000000;
+
+// The Result of each answer, by the protocol's table. What is not in it was at least answered: an error.
+Result resultOf(const HttpAnswer& a) {
+  if (a.how == Exchanged::not_written) return Result::connect_failed;
+  if (a.how == Exchanged::broken) return Result::reset;
+  if (a.how == Exchanged::timed_out) return Result::timeout;
+  switch (a.status) {
+    case 200:
+      return Result::ok;
+    case 429:
+      return Result::full;
+    case 503:
+      return a.field("x-egress-full") ? Result::not_sent : Result::full;
+    case 504:
+      return Result::not_sent;
+    case 410:
+      return Result::not_sent;
+    default:
+      return Result::error;
+  }
+}
+
+std::optional<double> numberIn(const std::string& s) {
+  char* end = nullptr;
+  const double v = std::strtod(s.c_str(), &end);
+  if (end == s.c_str() || !std::isfinite(v)) return std::nullopt;
+  return v;
+}
+
+Micros waitOf(const HttpAnswer& a) {
+  const std::string* told = a.field("retry-after");
+  const auto seconds = told ? numberIn(*told) : std::nullopt;
+  if (!seconds || *seconds <= 0) return 0;
+  return static_cast<Micros>(std::ceil(std::min(*seconds * 1e6, static_cast<double>(kLongestWait))));
+}
+
+std::optional<LimitReport> reportOf(const HttpAnswer& a) {
+  const std::string* told = a.field("x-pressure");
+  if (!told) return std::nullopt;
+  auto value = [&](const std::string& name) -> double {
+    const auto at = ("," + *told).find("," + name + "=");
+    if (at == std::string::npos) return 0;
+    return numberIn(told->substr(at + name.size() + 1)).value_or(0);
+  };
+  return LimitReport{value("x0"), value("x1")};
+}
+
+}  // namespace
+
+Micros monotonicNow() {
+  const auto t = std::chrono::steady_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(t).count();
+}
+Micros unixNow() {
+  const auto t = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(t).count();
+}
+
+Endpoints::Endpoints(asio::io_context& io, Limits limits, OnOutcome on_outcome)
+    : io_(io), limits_(limits), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
+
+void Endpoints::address(const std::string& endpoint, const std::string& address) {
+  std::string& known = addresses_[endpoint];
+  if (known == address) return;
+  known = address;
+  closeIdle(endpoint);
+}
+
+void Endpoints::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) {
+  const CallId id{m.id, attempt};
+  const Micros began = monotonicNow();
+  Call call;
+  call.endpoint = endpoint;
+  call.address = addresses_[endpoint];
+  call.began = began;
+  auto& idle = idle_[endpoint];
+  while (!idle.empty() && !call.connection) {  // the freshest first
+    if (idle.back().connection->reusable()) call.connection = std::move(idle.back().connection);
+    idle.pop_back();
+    --idle_count_;
+  }
+  if (!call.connection) {
+    try {
+      call.connection =
+          std::make_unique<HttpConnection>(io_, parseAddress(call.address), call.address, kBodyLimit);
+    } catch (const std::invalid_argument&) { return report(id, Result::connect_failed, began); }
+  }
+  HttpRequest r;
+  r.method = "POST";
+  r.target = "/hook";
+  r.fields.emplace_back("X-Txn", m.id);
+  if (!m.idempotency_key.empty()) r.fields.emplace_back("Idempotency-Key", m.idempotency_key);
+  r.fields.emplace_back("X-Remaining-Ms", std::to_string(std::max<Micros>(1, timeout / 1000)));
+  r.body = m.body;
+  HttpConnection& connection = *call.connection;
+  calls_[id] = std::move(call);
+  connection.exchange(std::move(r), limits_.dial_timeout, timeout,
+                      [this, id](const HttpAnswer& a) { over(id, a); });
+}
+
+void Endpoints::over(const CallId& id, const HttpAnswer& answer) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  Outcome o;
+  o.id = id.first;
+  o.attempt = id.second;
+  o.result = resultOf(answer);
+  o.finished = answer.how == Exchanged::answered && (answer.status == 200 || answer.status == 410);
+  if (o.result == Result::full) o.wait = waitOf(answer);
+  o.rtt = std::max<Micros>(1, monotonicNow() - it->second.began);
+  o.report = reportOf(answer);
+  // The module keeps its own count of idle connections: one is kept after the same outcomes as there.
+  const bool kept = o.result == Result::ok || o.result == Result::error || o.result == Result::full;
+  Call call = std::move(it->second);
+  calls_.erase(it);
+  if (kept) keep(call);
+  on_outcome_(std::move(o));
+}
+
+void Endpoints::report(const CallId& id, Result result, Micros began) {
+  asio::post(io_, [this, id, result, began] {
+    Outcome o;
+    o.id = id.first;
+    o.attempt = id.second;
+    o.result = result;
+    o.rtt = std::max<Micros>(1, monotonicNow() - began);
+    on_outcome_(std::move(o));
+  });
+}
+
+void Endpoints::cancel(const std::string& id, int attempt) {
+  auto it = calls_.find({id, attempt});
+  if (it == calls_.end()) return;
+  const Micros began = it->second.began;
+  calls_.erase(it);  // closes the connection
+  report({id, attempt}, Result::cancelled, began);
+}
+
+void Endpoints::closeIdle(const std::string& endpoint) {
+  auto it = idle_.find(endpoint);
+  if (it == idle_.end()) return;
+  idle_count_ -= it->second.size();
+  idle_.erase(it);
+}
+
+void Endpoints::keep(Call& call) {
+  if (!call.connection->reusable() || call.address != addresses_[call.endpoint]) return;
+  if (idle_count_ >= limits_.max_idle) return;
+  idle_[call.endpoint].push_back({std::move(call.connection), monotonicNow()});
+  ++idle_count_;
+  sweep();
+}
+
+// Closes what has idled almost as long as an endpoint allows. Guards against a call that crosses the close.
+void Endpoints::sweep() {
+  if (sweeping_ || limits_.conn_idle <= 0) return;
+  const Micros most = limits_.conn_idle - limits_.conn_idle / 20;
+  Micros next = 0;
+  const Micros now = monotonicNow();
+  for (auto& [endpoint, idle] : idle_) {
+    while (!idle.empty() && now - idle.front().since >= most) {
+      idle.pop_front();
+      --idle_count_;
+    }
+    if (!idle.empty() && (next == 0 || idle.front().since + most < next)) next = idle.front().since + most;
+  }
+  if (next == 0) return;
+  sweeping_ = true;
+  sweeper_.expires_after(std::chrono::microseconds(next - now));
+  sweeper_.async_wait([this](const boost::system::error_code& e) {
+    if (e) return;
+    sweeping_ = false;
+    sweep();
+  });
+}
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/host.cpp
@@ -0,0 +1,253 @@
+// puffinhill: the host; see host.h.
+#include "host.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+namespace puffinhill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+std::string busy(Micros pause) {
+  return pause > 0 ? "-BUSY " + std::to_string((pause + 999) / 1000) : std::string("-BUSY");
+}
+
+}  // namespace
+
+Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
+           Endpoints& endpoints, Notices& notices)
+    : io_(io),
+      settings_(settings),
+      sender_(std::move(settings), seed),
+      journal_(journal),
+      endpoints_(endpoints),
+      notices_(notices),
+      turn_timer_(io),
+      wake_timer_(io) {}
+
+void Host::recover(const json& known) {
+  const Journal::Recovered& r = journal_.recovered();
+  if (r.damaged > 0) std::cerr << "journal: " << r.damaged << " damaged stretches passed over\n";
+  if (r.torn) std::cerr << "journal: a torn tail was cut\n";
+  // The newer of the two lists: a drain that was heard before the restart still counts.
+  json list = known;
+  const json own = json::parse(r.list, nullptr, false);
+  if (own.is_object() && (!list.is_object() || number(own, "index", -1) >= number(list, "index", -1)))
+    list = own;
+  if (list.is_object() && !list.empty()) {
+    EndpointList::News news = list_.read(list);
+    news.kind = ListKind::cached;
+    takeList(news);
+  }
+  const Micros shift = monotonicNow() - unixNow();
+  for (const Journal::Entry& e : r.entries) {
+    if (e.ended) {
+      notices_.owe(e.message.id, e.notice);
+      continue;
+    }
+    Held& h = held_[e.message.id];
+    h.message = e.message;
+    h.attempts = static_cast<int>(e.attempts.size());
+    Resumed m;
+    m.message.id = e.message.id;
+    m.message.message_class = e.message.message_class;
+    m.message.order_key = e.message.order_key;
+    m.message.destination = e.message.destination;
+    m.message.give_up_at = e.message.give_up_at + shift;
+    m.message.repeat = true;
+    for (const JournaledAttempt& a : e.attempts)
+      m.attempts.push_back({a.endpoint, a.sent + shift, !a.never_ran});
+    events_.push_back(std::move(m));
+  }
+  if (!r.entries.empty()) std::cerr << "journal: " << r.entries.size() << " messages resumed\n";
+  journal_.forgetRecovered();
+  if (!events_.empty()) turn();
+}
+
+std::int64_t Host::list(const json& answer) {
+  const EndpointList::News news = list_.read(answer);
+  if (!news.entries.empty() || news.kind != ListKind::delta) {
+    journal_.listed(list_.all().dump());
+    takeList(news);
+    // What drains or is gone is told to the module in this very turn of the loop.
+    turn();
+  }
+  return list_.index();
+}
+
+void Host::takeList(const EndpointList::News& news) {
+  ListUpdate u;
+  u.kind = news.kind;
+  for (const ListedEndpoint& l : news.entries) {
+    u.endpoints.push_back(l.endpoint);
+    destinations_.insert(l.endpoint.destination);
+    if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address);
+    if (l.endpoint.state == EndpointState::gone) endpoints_.closeIdle(l.endpoint.id);
+  }
+  events_.push_back(std::move(u));
+}
+
+void Host::put(Clients::Put put, Clients::Reply reply) {
+  const TakenOn& m = put.message;
+  if (std::none_of(settings_.classes.begin(), settings_.classes.end(),
+                   [&](const MessageClass& c) { return c.name == m.message_class; }))
+    return reply("-ERR unknown class");
+  if (destinations_.empty()) return reply(busy(settings_.max_pause));
+  if (!destinations_.count(m.destination)) return reply("-ERR unknown destination");
+  auto known = held_.find(m.id);
+  if (known != held_.end()) return reply(known->second.reply ? "-ERR handed in twice" : "+OK");
+  if (!journal_.hasRoom(m)) return reply(busy(settings_.max_pause));
+  Arrival a;
+  a.id = m.id;
+  a.message_class = m.message_class;
+  a.order_key = m.order_key;
+  a.destination = m.destination;
+  a.give_up_at = monotonicNow() + put.may_last;
+  a.repeat = m.repeat;
+  Held& h = held_[m.id];
+  h.message = std::move(put.message);
+  h.message.give_up_at = unixNow() + put.may_last;
+  h.reply = std::move(reply);
+  fresh_.insert(a.id);
+  add(std::move(a));
+}
+
+void Host::outcome(Outcome o) {
+  auto it = held_.find(o.id);
+  if (it != held_.end()) {
+    if (o.finished) {
+      journal_.over(o.id);
+      held_.erase(it);
+    } else if (o.result == Result::full || o.result == Result::connect_failed ||
+               o.result == Result::not_sent) {
+      journal_.neverRan(o.id, static_cast<std::size_t>(o.attempt));
+    }
+  }
+  add(std::move(o));
+}
+
+void Host::told(const std::string& id) {
+  journal_.over(id);
+  journal_.flush();
+}
+
+void Host::stopAt(Micros at) { add(Stopping{at}); }
+
+void Host::add(Event e) {
+  events_.push_back(std::move(e));
+  if (turn_due_) return;
+  turn_due_ = true;
+  const Micros due = last_turn_ + settings_.tick - monotonicNow();
+  if (due <= 0) {
+    asio::post(io_, [this] {
+      if (turn_due_) turn();
+    });
+    return;
+  }
+  turn_timer_.expires_after(std::chrono::microseconds(due));
+  turn_timer_.async_wait([this](const boost::system::error_code& e2) {
+    if (!e2 && turn_due_) turn();
+  });
+}
+
+void Host::turn() {
+  turn_due_ = false;
+  turn_timer_.cancel();
+  last_turn_ = std::max(last_turn_ + 1, monotonicNow());
+  std::vector<Event> events;
+  events.swap(events_);
+  carryOut(sender_.decide(last_turn_, events));
+}
+
+// First the refusals of what has just come, then the journal, then all that it promises.
+void Host::carryOut(const std::vector<Action>& actions) {
+  for (const Action& a : actions) {
+    if (const auto* r = std::get_if<Refuse>(&a)) end(r->id, true, r->pause);
+    if (const auto* f = std::get_if<Fail>(&a)) end(f->id, false, 0);
+  }
+  for (const std::string& id : fresh_) journal_.accepted(held_.at(id).message);
+  std::vector<std::pair<const Send*, int>> sends;
+  for (const Action& a : actions) {
+    const auto* s = std::get_if<Send>(&a);
+    if (!s) continue;
+    auto it = held_.find(s->id);
+    if (it == held_.end()) continue;
+    journal_.attempted(s->id, {s->endpoint, unixNow(), false});
+    sends.emplace_back(s, it->second.attempts++);
+  }
+  const bool kept = journal_.flush();
+  if (!kept) std::cerr << "journal: could not be written\n";
+  for (const std::string& id : fresh_) {
+    Held& h = held_.at(id);
+    const Clients::Reply reply = std::move(h.reply);
+    h.reply = nullptr;
+    if (!kept) {  // nothing is taken on that a restart would forget
+      journal_.over(id);
+      held_.erase(id);
+      add(Gone{id});
+    }
+    reply(kept ? "+OK" : busy(settings_.max_pause));
+  }
+  fresh_.clear();
+  std::size_t next = 0;
+  for (const Action& a : actions) {
+    if (const auto* s = std::get_if<Send>(&a)) {
+      if (next >= sends.size() || sends[next].first != s) continue;
+      const int attempt = sends[next++].second;
+      auto it = held_.find(s->id);
+      if (kept) {
+        endpoints_.call(it->second.message, attempt, s->endpoint, s->timeout);
+        continue;
+      }
+      Outcome o;
+      o.id = s->id;
+      o.attempt = attempt;
+      o.result = Result::not_sent;
+      outcome(std::move(o));
+    } else if (const auto* c = std::get_if<Cancel>(&a)) {
+      endpoints_.cancel(c->id, c->attempt);
+    } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
+      endpoints_.closeIdle(i->endpoint);
+    } else if (const auto* w = std::get_if<WakeIn>(&a)) {
+      wakes_.insert(last_turn_ + w->span);
+    }
+  }
+  wake();
+}
+
+// The module has ended a message: the client hears it at once, or by a notice if it was taken on before.
+void Host::end(const std::string& id, bool handed_back, Micros pause) {
+  auto it = held_.find(id);
+  if (it == held_.end()) return;
+  if (it->second.reply) {
+    const Clients::Reply reply = std::move(it->second.reply);
+    fresh_.erase(id);
+    held_.erase(it);
+    return reply(handed_back ? busy(pause) : "-ERR given up");
+  }
+  const Notice n{handed_back, (pause + 999) / 1000};
+  journal_.noticeOwed(id, n);
+  held_.erase(it);
+  notices_.owe(id, n);
+}
+
+void Host::wake() {
+  if (wakes_.empty()) return;
+  wake_timer_.expires_after(std::chrono::microseconds(std::max<Micros>(0, *wakes_.begin() - monotonicNow())));
+  wake_timer_.async_wait([this](const boost::system::error_code& e) {
+    if (e) return;
+    const Micros now = monotonicNow();
+    bool due = false;
+    while (!wakes_.empty() && *wakes_.begin() <= now) {
+      wakes_.erase(wakes_.begin());
+      due = true;
+    }
+    if (due) add(Wake{});
+    wake();
+  });
+}
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/journal.cpp
@@ -0,0 +1,360 @@
+// puffinhill: the journal; see journal.h. A record is a mark, the payload's length, its CRC and the payload.
+#include "journal.h"
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace puffinhill {
+namespace {
+
+constexpr char kMark[] = "\xA7GJ1";  // lets the reader find the next record after a damaged one
+constexpr std::size_t kMarkSize = 4, kHeader = kMarkSize + 8;
+constexpr std::uint32_t kLargest = 4u << 20;
+constexpr std::uint64_t kBlock = 512;
+// Bytes kept free for each message taken on: its attempts, their ends and its notice.
+constexpr std::uint64_t kSeeThrough = 640;
+// Compaction is worth its writes once this much, and more than half of the file, is of messages long over.
+constexpr std::uint64_t kLeastWaste = 64u << 10;
+
+enum Type : char {
+  kAccepted = 'A',
+  kAttempted = 'T',
+  kNeverRan = 'N',
+  kOwed = 'W',
+  kOver = 'O',
+  kList = 'L',
+  kFailing = 'F'
+};
+
+std::uint32_t crcOf(const char* data, std::size_t size) {
+  boost::crc_32_type crc;
+  crc.process_bytes(data, size);
+  return crc.checksum();
+}
+
+class Writer {
+ public:
+  explicit Writer(Type t) { out_.push_back(t); }
+  Writer& number(std::int64_t v) {
+    const auto u = static_cast<std::uint64_t>(v);
+    for (int i = 0; i < 8; ++i) out_.push_back(static_cast<char>(u >> (8 * i) & 0xff));
+    return *this;
+  }
+  Writer& text(const std::string& s) {
+    number(static_cast<std::int64_t>(s.size()));
+    out_ += s;
+    return *this;
+  }
+  const std::string& out() const { return out_; }
+
+ private:
+  std::string out_;
+};
+
+class Reader {
+ public:
+  explicit Reader(const std::string& in) : in_(in) {}
+  std::int64_t number() {
+    if (in_.size() - at_ < 8) throw std::runtime_error("short record");
+    std::uint64_t u = 0;
+    for (int i = 0; i < 8; ++i)
+      u |= static_cast<std::uint64_t>(static_cast<unsigned char>(in_[at_++])) << (8 * i);
+    return static_cast<std::int64_t>(u);
+  }
+  std::string text() {
+    const auto n = static_cast<std::uint64_t>(number());
+    if (n > in_.size() - at_) throw std::runtime_error("short record");
+    std::string s = in_.substr(at_, n);
+    at_ += n;
+    return s;
+  }
+
+ private:
+  const std::string& in_;
+  std::size_t at_ = 1;  // past the type
+};
+
+std::string framed(const std::string& payload) {
+  std::string out(kMark, kMarkSize);
+  const std::uint32_t words[2] = {static_cast<std::uint32_t>(payload.size()),
+                                  crcOf(payload.data(), payload.size())};
+  for (std::uint32_t w : words)
+    for (int i = 0; i < 4; ++i) out.push_back(static_cast<char>(w >> (8 * i) & 0xff));
+  return out + payload;
+}
+
+std::uint32_t wordAt(const std::string& d, std::size_t at) {
+  std::uint32_t w = 0;
+  for (int i = 0; i < 4; ++i)
+    w |= static_cast<std::uint32_t>(static_cast<unsigned char>(d[at + static_cast<std::size_t>(i)]))
+         << (8 * i);
+  return w;
+}
+
+std::string acceptedPayload(const TakenOn& m) {
+  return Writer(kAccepted)
+      .text(m.id)
+      .text(m.message_class)
+      .text(m.order_key)
+      .text(m.idempotency_key)
+      .text(m.body)
+      .number(m.destination)
+      .number(m.give_up_at)
+      .number(m.repeat)
+      .out();
+}
+std::string attemptedPayload(const std::string& id, const JournaledAttempt& a) {
+  return Writer(kAttempted).text(id).text(a.endpoint).number(a.sent).out();
+}
+std::string neverRanPayload(const std::string& id, std::size_t attempt) {
+  return Writer(kNeverRan).text(id).number(static_cast<std::int64_t>(attempt)).out();
+}
+std::string owedPayload(const std::string& id, const Notice& n) {
+  return Writer(kOwed).text(id).number(n.handed_back).number(n.retry_in_ms).out();
+}
+std::string listPayload(const std::string& list) { return Writer(kList).text(list).out(); }
+std::string failingPayload(const std::string& d, Micros when) {
+  return Writer(kFailing).text(d).number(when).out();
+}
+
+std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
+
+std::uint64_t sizeOf(const TakenOn& m) {
+  return kHeader + 1 + 8 * 8 + m.id.size() + m.message_class.size() + m.order_key.size() +
+         m.idempotency_key.size() + m.body.size();
+}
+
+[[noreturn]] void fault(const std::string& what) {
+  throw std::runtime_error(what + ": " + std::strerror(errno));
+}
+
+std::string readAll(int fd) {
+  std::string data;
+  char piece[65536];
+  for (;;) {
+    const ssize_t n = ::read(fd, piece, sizeof piece);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) fault("journal: read");
+    if (n == 0) return data;
+    data.append(piece, static_cast<std::size_t>(n));
+  }
+}
+
+}  // namespace
+
+Journal::Journal(const std::string& folder, std::uint64_t disk_bytes)
+    : path_(folder + "/journal"), fresh_path_(folder + "/journal.new"), disk_(disk_bytes) {
+  ::unlink(fresh_path_.c_str());  // a compaction that was cut short: the old file still holds all
+  fd_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0644);
+  if (fd_ < 0) fault("journal: " + path_);
+  replay(readAll(fd_));
+  for (const auto& [id, e] : entries_) recovered_.entries.push_back(e);
+  std::sort(recovered_.entries.begin(), recovered_.entries.end(),
+            [](const Entry& a, const Entry& b) { return a.order < b.order; });
+  recovered_.list = list_;
+  recovered_.failing = failing_;
+  live_ = liveBytes();
+  if (recovered_.damaged > 0) compact();
+}
+
+Journal::~Journal() {
+  flush();
+  if (fd_ >= 0) ::close(fd_);
+}
+
+// Reads what is sound. Damage in the middle is passed over up to the next sound record; what follows the last
+// sound one is a torn tail, of a write that a kill cut short, and is cut off.
+void Journal::replay(const std::string& data) {
+  const std::string mark(kMark, kMarkSize);
+  std::size_t at = 0, sound_end = 0;
+  bool gap = false;
+  while (at + kHeader <= data.size()) {
+    if (data.compare(at, kMarkSize, mark) == 0) {
+      const std::uint32_t size = wordAt(data, at + kMarkSize), crc = wordAt(data, at + kMarkSize + 4);
+      if (size >= 1 && size <= kLargest && size <= data.size() - at - kHeader &&
+          crcOf(data.data() + at + kHeader, size) == crc) {
+        if (gap) doubt();
+        gap = false;
+        try {
+          apply(data.substr(at + kHeader, size));
+        } catch (const std::runtime_error&) { ++recovered_.damaged; }
+        at += kHeader + size;
+        sound_end = at;
+        continue;
+      }
+    }
+    gap = true;
+    const std::size_t next = data.find(mark, at + 1);
+    if (next == std::string::npos) break;
+    at = next;
+  }
+  size_ = sound_end;
+  if (sound_end < data.size()) {
+    recovered_.torn = true;
+    if (::ftruncate(fd_, static_cast<off_t>(sound_end)) != 0) fault("journal: cut the torn tail");
+  }
+}
+
+// A record in the middle is lost. It may have been an attempt of any message open then: each counts as tried
+// at the moment it was sent last, or long ago. Guards against a second effect after damage. Harm: unsafe ones
+// among them are given up though they may never have been sent.
+void Journal::doubt() {
+  ++recovered_.damaged;
+  for (auto& [id, e] : entries_)
+    if (!e.ended) e.attempts.push_back({"", e.attempts.empty() ? 0 : e.attempts.back().sent, false});
+}
+
+void Journal::apply(const std::string& payload) {
+  Reader r(payload);
+  const char type = payload[0];
+  if (type == kList) {
+    list_ = r.text();
+    return;
+  }
+  const std::string id = r.text();
+  if (type == kFailing) {
+    failing_[id] = r.number();
+    return;
+  }
+  if (type == kAccepted) {
+    Entry e;
+    e.message.id = id;
+    e.message.message_class = r.text();
+    e.message.order_key = r.text();
+    e.message.idempotency_key = r.text();
+    e.message.body = r.text();
+    e.message.destination = r.number();
+    e.message.give_up_at = r.number();
+    e.message.repeat = r.number() != 0;
+    e.order = ++next_order_;
+    entries_[id] = std::move(e);
+    return;
+  }
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  Entry& e = it->second;
+  if (type == kAttempted) {
+    JournaledAttempt a;
+    a.endpoint = r.text();
+    a.sent = r.number();
+    e.attempts.push_back(a);
+  } else if (type == kNeverRan) {
+    const auto n = static_cast<std::size_t>(r.number());
+    if (n < e.attempts.size()) e.attempts[n].never_ran = true;
+  } else if (type == kOwed) {
+    e.ended = true;
+    e.notice.handed_back = r.number() != 0;
+    e.notice.retry_in_ms = r.number();
+  } else if (type == kOver) {
+    entries_.erase(it);
+  } else {
+    throw std::runtime_error("unknown record");
+  }
+}
+
+std::uint64_t Journal::liveBytes() const {
+  std::uint64_t live = 2 * (kHeader + 16) + list_.size() + failing_.size() * 64;
+  for (const auto& [id, e] : entries_) live += sizeOf(e.message) + kSeeThrough;
+  return live;
+}
+
+bool Journal::hasRoom(const TakenOn& m) const {
+  const std::uint64_t one = sizeOf(m) + kSeeThrough, live = live_ + one;
+  // Right after a compaction the file holds what is live, and the next one writes as much again beside it.
+  return blocks(live) + blocks(live) + kLeastWaste + 2 * kBlock <= disk_;
+}
+
+void Journal::append(const std::string& payload) {
+  buffer_ += framed(payload);
+  apply(payload);
+}
+
+void Journal::accepted(const TakenOn& m) {
+  append(acceptedPayload(m));
+  live_ += sizeOf(m) + kSeeThrough;
+}
+void Journal::attempted(const std::string& id, const JournaledAttempt& a) { append(attemptedPayload(id, a)); }
+void Journal::neverRan(const std::string& id, std::size_t attempt) { append(neverRanPayload(id, attempt)); }
+void Journal::noticeOwed(const std::string& id, const Notice& n) { append(owedPayload(id, n)); }
+void Journal::over(const std::string& id) {
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  live_ -= sizeOf(it->second.message) + kSeeThrough;
+  append(Writer(kOver).text(id).out());
+}
+void Journal::listed(const std::string& list) {
+  append(listPayload(list));
+  live_ = liveBytes();
+}
+void Journal::failing(const std::string& destination, Micros when) {
+  append(failingPayload(destination, when));
+  live_ = liveBytes();
+}
+
+bool Journal::writeAll(int fd, const std::string& data) {
+  for (std::size_t done = 0; done < data.size();) {
+    const ssize_t n = ::write(fd, data.data() + done, data.size() - done);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return false;
+    done += static_cast<std::size_t>(n);
+  }
+  return true;
+}
+
+// Old and new file are there together for a moment, so compaction comes while both still fit the budget.
+bool Journal::flush() {
+  if (buffer_.empty()) return true;
+  const std::uint64_t after = size_ + buffer_.size();
+  const bool must = blocks(after) + blocks(live_) + kLeastWaste > disk_;
+  if (must || (after > 2 * live_ && after - live_ > 4 * kLeastWaste)) {
+    if (compact()) return true;
+  }
+  if (blocks(after) > disk_ || !writeAll(fd_, buffer_)) {
+    if (::ftruncate(fd_, static_cast<off_t>(size_)) != 0) return false;
+    return false;
+  }
+  size_ = after;
+  buffer_.clear();
+  return true;
+}
+
+// Writes anew what is open, then renames: a kill at any moment leaves the old file or the new one, whole.
+bool Journal::compact() {
+  std::vector<const Entry*> order;
+  for (const auto& [id, e] : entries_) order.push_back(&e);
+  std::sort(order.begin(), order.end(), [](const Entry* a, const Entry* b) { return a->order < b->order; });
+  std::string data;
+  if (!list_.empty()) data += framed(listPayload(list_));
+  for (const auto& [destination, when] : failing_) data += framed(failingPayload(destination, when));
+  for (const Entry* e : order) {
+    data += framed(acceptedPayload(e->message));
+    for (std::size_t i = 0; i < e->attempts.size(); ++i) {
+      data += framed(attemptedPayload(e->message.id, e->attempts[i]));
+      if (e->attempts[i].never_ran) data += framed(neverRanPayload(e->message.id, i));
+    }
+    if (e->ended) data += framed(owedPayload(e->message.id, e->notice));
+  }
+  if (blocks(size_) + blocks(data.size()) > disk_) return false;
+  const int fd = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0644);
+  if (fd < 0) return false;
+  if (!writeAll(fd, data) || ::rename(fresh_path_.c_str(), path_.c_str()) != 0) {
+    ::close(fd);
+    ::unlink(fresh_path_.c_str());
+    return false;
+  }
+  ::close(fd_);
+  fd_ = fd;
+  size_ = data.size();
+  buffer_.clear();
+  live_ = liveBytes();
+  return true;
+}
+
+}  // namespace puffinhill
--- /dev/null
+++ b/src/net/journal.h
@@ -0,0 +1,92 @@
+// puffinhill: the journal of what this sender has taken on. Append-only records, each checksummed, written
+// before what they promise; compacted by writing anew and renaming. Times in it are Unix time, which holds
+// across processes. It keeps what happened and decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "puffinhill/sender.h"
+
+namespace puffinhill {
+
+struct TakenOn {  // what a client handed in, as it goes on to the endpoint
+  std::string id, message_class, order_key, idempotency_key, body;
+  std::int64_t destination = 0;
+  Micros give_up_at = 0;  // Unix time
+  bool repeat = false;
+};
+
+struct JournaledAttempt {
+  std::string endpoint;
+  Micros sent = 0;  // Unix time
+  bool never_ran = false;
+};
+
+struct Notice {
+  bool handed_back = false;  // else given up
+  std::int64_t retry_in_ms = 0;
+};
+
+class Journal {
+ public:
+  struct Entry {
+    TakenOn message;
+    std::vector<JournaledAttempt> attempts;
+    bool ended = false;  // its notice is owed
+    Notice notice;
+    std::uint64_t order = 0;
+  };
+  struct Recovered {
+    std::vector<Entry> entries;             // in the order in which they were taken on
+    std::string list;                       // discovery's last list, empty if none
+    std::map<std::string, Micros> failing;  // destinations seen failing, and when last; Unix time
+    std::size_t damaged = 0;                // stretches that could not be read
+    bool torn = false;                      // the tail was cut
+  };
+
+  // Opens or creates the journal in `folder`. Throws std::runtime_error when that can't be done.
+  Journal(const std::string& folder, std::uint64_t disk_bytes);
+  ~Journal();
+  Journal(const Journal&) = delete;
+  Journal& operator=(const Journal&) = delete;
+
+  const Recovered& recovered() const { return recovered_; }
+  void forgetRecovered() { recovered_ = {}; }
+
+  // Is there room to take this on and to see it through, old and new file together?
+  bool hasRoom(const TakenOn& m) const;
+
+  // Each of these appends to a buffer; flush() writes it. False: nothing was written, the buffer waits for
+  // the next flush, and what it promises must not be done.
+  void accepted(const TakenOn& m);
+  void attempted(const std::string& id, const JournaledAttempt& a);
+  void neverRan(const std::string& id, std::size_t attempt);
+  void noticeOwed(const std::string& id, const Notice& n);
+  void over(const std::string& id);  // delivered, withdrawn, or its notice was answered
+  void listed(const std::string& list);
+  void failing(const std::string& destination, Micros when);
+  bool flush();
+
+ private:
+  void append(const std::string& payload);
+  void apply(const std::string& payload);
+  void replay(const std::string& data);
+  void doubt();
+  std::uint64_t liveBytes() const;
+  bool compact();
+  bool writeAll(int fd, const std::string& data);
+
+  std::string path_, fresh_path_;
+  std::uint64_t disk_ = 0, size_ = 0, live_ = 0, next_order_ = 0;
+  int fd_ = -1;
+  std::string buffer_;
+  std::map<std::string, Entry> entries_;
+  std::string list_;
+  std::map<std::string, Micros> failing_;
+  Recovered recovered_;
+};
+
+}  // namespace puffinhill
