--- a/include/puffinhill/sender.h
+++ b/include/grademux/sender.h
@@ -1,4 +1,4 @@
-// puffinhill: the interface of the decision module. Types only: no decision and no tuned value stands here.
+// grademux: the interface of the decision module. Types only: no decision and no tuned value stands here.
 // One Sender decides for one sending process. It does no I/O and reads no clock: the host hands it what
 // happened (events) and carries out what it answers (actions).
 #pragma once
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace puffinhill {
+namespace grademux {
 
 using Micros = std::int64_t;  // a point in time or a span, in whole microseconds
 
@@ -194,4 +194,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/json_fields.h
+++ b/src/json_fields.h
@@ -1,4 +1,4 @@
-// puffinhill: strict reading of fields from JSON; errors name the field. Shared by all that reads JSON.
+// grademux: strict reading of fields from JSON; errors name the field. Shared by all that reads JSON.
 #pragma once
 
 #include <cmath>
@@ -9,9 +9,9 @@
 #include <string>
 #include <utility>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 using nlohmann::json;
 
@@ -90,4 +90,4 @@
   bad(std::string("unknown value of ") + name + ": " + word);
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,4 +1,4 @@
-// puffinhill: THE decision module. Its interface stands in include/puffinhill/sender.h.
+// grademux: THE decision module. Its interface stands in include/grademux/sender.h.
 // The design is RBFQ of "RePAIR" (dual real-time tags); docs/design.md lists what was kept and what was
 // added. Sections: 1 tags, 2 upper bound, 3 health, 4 attempts, 5 admission, 6 membership, then the turn.
 #include <algorithm>
@@ -8,10 +8,10 @@
 #include <set>
 #include <unordered_map>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 #include "state.h"
 
-namespace puffinhill {
+namespace grademux {
 namespace {
 
 // ---- Tuned values: ratios and multiples of settings and observations, never absolute times or rates.
@@ -788,8 +788,8 @@
     }
   }
 
-  // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard may
-  // have run. Guards against a second effect after a restart.
+  // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard
+  // may have run. Guards against a second effect after a restart.
   void onResumed(const Resumed& r) {
     onArrival(r.message);
     auto it = messages.find(r.message.id);
@@ -957,4 +957,4 @@
   return impl_->decide(now, events);
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,4 @@
-// puffinhill: the real sender: reads its configuration, wires the parts together, and handles signals.
+// grademux: the real sender: reads its configuration, wires the parts together, and handles signals.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <cstdlib>
@@ -9,7 +9,7 @@
 #include "net/host.h"
 #include "settings.h"
 
-using namespace puffinhill;
+using namespace grademux;
 
 namespace {
 
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -1,4 +1,4 @@
-// puffinhill: the server for clients; see clients.h.
+// grademux: the server for clients; see clients.h.
 #include "clients.h"
 
 #include <boost/asio/buffer.hpp>
@@ -8,7 +8,7 @@
 
 #include "resp.h"
 
-namespace puffinhill {
+namespace grademux {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -223,4 +223,4 @@
   }
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,4 +1,4 @@
-// puffinhill: the RESP2 server that clients hand messages to: PING and MSG.PUT, each request answered in
+// grademux: the RESP2 server that clients hand messages to: PING and MSG.PUT, each request answered in
 // turn.
 #pragma once
 
@@ -12,7 +12,7 @@
 
 #include "journal.h"
 
-namespace puffinhill {
+namespace grademux {
 
 class Clients {
  public:
@@ -50,4 +50,4 @@
   bool accepting_ = false, draining_ = false;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -1,9 +1,9 @@
-// puffinhill: discovery; see discovery.h.
+// grademux: discovery; see discovery.h.
 #include "discovery.h"
 
 #include <iostream>
 
-namespace puffinhill {
+namespace grademux {
 
 namespace asio = boost::asio;
 
@@ -158,4 +158,4 @@
   });
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -1,4 +1,4 @@
-// puffinhill: discovery: the watch that brings the list of endpoints, and the notices that tell the platform
+// grademux: discovery: the watch that brings the list of endpoints, and the notices that tell the platform
 // how messages ended.
 #pragma once
 
@@ -12,7 +12,7 @@
 #include "http.h"
 #include "journal.h"
 
-namespace puffinhill {
+namespace grademux {
 
 struct ListedEndpoint {
   Endpoint endpoint;
@@ -79,4 +79,4 @@
   bool waiting_ = false;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -1,4 +1,4 @@
-// puffinhill: calls to endpoints; see endpoints.h.
+// grademux: calls to endpoints; see endpoints.h.
 #include "endpoints.h"
 
 #include <boost/asio/post.hpp>
@@ -6,7 +6,7 @@
 #include <cmath>
 #include <cstdlib>
 
-namespace puffinhill {
+namespace grademux {
 
 namespace asio = boost::asio;
 
@@ -190,4 +190,4 @@
   });
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -1,4 +1,4 @@
-// puffinhill: calls to endpoints: the connection pool, and the outcome of each call. No policy: when a call
+// grademux: calls to endpoints: the connection pool, and the outcome of each call. No policy: when a call
 // is made, how long it may take and which connections are kept is told from outside.
 #pragma once
 
@@ -11,7 +11,7 @@
 #include "http.h"
 #include "journal.h"
 
-namespace puffinhill {
+namespace grademux {
 
 class Endpoints {
  public:
@@ -59,4 +59,4 @@
 Micros monotonicNow();  // a clock that only goes forward
 Micros unixNow();       // a clock that holds across processes
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -1,11 +1,11 @@
-// puffinhill: the host; see host.h.
+// grademux: the host; see host.h.
 #include "host.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iostream>
 
-namespace puffinhill {
+namespace grademux {
 
 namespace asio = boost::asio;
 
@@ -250,4 +250,4 @@
   });
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -1,4 +1,4 @@
-// puffinhill: the host of the decision module: hands it events in turns, carries out its actions, and has the
+// grademux: the host of the decision module: hands it events in turns, carries out its actions, and has the
 // journal written before what it promises. It owns no policy.
 #pragma once
 
@@ -14,7 +14,7 @@
 #include "endpoints.h"
 #include "journal.h"
 
-namespace puffinhill {
+namespace grademux {
 
 class Host {
  public:
@@ -61,4 +61,4 @@
   bool turn_due_ = false;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1,4 +1,4 @@
-// puffinhill: HTTP connections; see http.h.
+// grademux: HTTP connections; see http.h.
 #include "http.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -8,7 +8,7 @@
 #include <optional>
 #include <stdexcept>
 
-namespace puffinhill {
+namespace grademux {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -186,4 +186,4 @@
   throw std::invalid_argument("not an address with a port: " + address);
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -1,4 +1,4 @@
-// puffinhill: one kept-alive HTTP/1.1 connection that carries one exchange at a time, on Boost.Beast. It
+// grademux: one kept-alive HTTP/1.1 connection that carries one exchange at a time, on Boost.Beast. It
 // tells how far an exchange came, never sends anything twice, and is closed to call an exchange off.
 #pragma once
 
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 using boost::asio::ip::tcp;
 
@@ -57,4 +57,4 @@
 
 tcp::endpoint parseAddress(const std::string& address);  // "10.0.0.4:6379"; throws std::invalid_argument
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -1,4 +1,4 @@
-// puffinhill: the journal; see journal.h. A record is a mark, the payload's length, its CRC and the payload.
+// grademux: the journal; see journal.h. A record is a mark, the payload's length, its CRC and the payload.
 #include "journal.h"
 
 #include <fcntl.h>
@@ -11,7 +11,7 @@
 #include <cstring>
 #include <stdexcept>
 
-namespace puffinhill {
+namespace grademux {
 namespace {
 
 constexpr char kMark[] = "\xA7GJ1";  // lets the reader find the next record after a damaged one
@@ -357,4 +357,4 @@
   return true;
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -1,4 +1,4 @@
-// puffinhill: the journal of what this sender has taken on. Append-only records, each checksummed, written
+// grademux: the journal of what this sender has taken on. Append-only records, each checksummed, written
 // before what they promise; compacted by writing anew and renaming. Times in it are Unix time, which holds
 // across processes. It keeps what happened and decides nothing.
 #pragma once
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 struct TakenOn {  // what a client handed in, as it goes on to the endpoint
   std::string id, message_class, order_key, idempotency_key, body;
@@ -89,4 +89,4 @@
   Recovered recovered_;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/resp.cpp
+++ b/src/net/resp.cpp
@@ -1,7 +1,7 @@
-// puffinhill: RESP2 requests; see resp.h.
+// grademux: RESP2 requests; see resp.h.
 #include "resp.h"
 
-namespace puffinhill {
+namespace grademux {
 namespace {
 
 constexpr std::size_t kLongestCount = 8;  // digits
@@ -71,4 +71,4 @@
   return Parsed::whole;
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/net/resp.h
+++ b/src/net/resp.h
@@ -1,11 +1,11 @@
-// puffinhill: a small strict parser of RESP2 requests (arrays of bulk strings), with bounds on all sizes.
+// grademux: a small strict parser of RESP2 requests (arrays of bulk strings), with bounds on all sizes.
 #pragma once
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace puffinhill {
+namespace grademux {
 
 constexpr std::size_t kMostWords = 16, kLongestWord = 65536;
 // The longest request that can be well formed, so that a reader knows when to stop reading.
@@ -17,4 +17,4 @@
 Parsed parseRequest(std::string_view in, std::vector<std::string>& words, std::size_t& used,
                     std::string& error);
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,7 +1,7 @@
-// puffinhill: reads the settings; see settings.h.
+// grademux: reads the settings; see settings.h.
 #include "settings.h"
 
-namespace puffinhill {
+namespace grademux {
 namespace {
 
 MessageClass readClass(const json& c) {
@@ -97,4 +97,4 @@
   return s;
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -1,4 +1,4 @@
-// puffinhill: the adapter between the simulator's wire (lines of JSON on standard input and output) and the
+// grademux: the adapter between the simulator's wire (lines of JSON on standard input and output) and the
 // decision module. It translates and keeps many isolated instances; it decides nothing.
 #include <algorithm>
 #include <iostream>
@@ -7,7 +7,7 @@
 
 #include "settings.h"
 
-using namespace puffinhill;
+using namespace grademux;
 
 namespace {
 
@@ -207,9 +207,7 @@
       }
       json operator()(const Fail& a) const { return {{"FinishError", {{"Who", who}, {"OpId", a.id}}}}; }
       json operator()(const Probe& a) const { return {{"Poll", {{"Who", who}, {"Endpoint", a.endpoint}}}}; }
-      json operator()(const puffinhill::Watch&) const {
-        return {{"Watch", {{"Who", who}, {"Active", true}}}};
-      }
+      json operator()(const grademux::Watch&) const { return {{"Watch", {{"Who", who}, {"Active", true}}}}; }
       json operator()(const Fetch&) const { return {{"Fetch", {{"Who", who}}}}; }
       json operator()(const CloseIdle& a) const {
         return {{"Disconnect", {{"Who", who}, {"Endpoint", a.endpoint}}}};
--- a/src/state.h
+++ b/src/state.h
@@ -1,4 +1,4 @@
-// puffinhill: what the decision module remembers, and the check of its settings. No decision stands here.
+// grademux: what the decision module remembers, and the check of its settings. No decision stands here.
 #pragma once
 
 #include <cstdint>
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 constexpr double kSecond = 1e6;
 constexpr Micros kNever = INT64_MAX / 4;
@@ -123,4 +123,4 @@
   require(s.cold_share > 0 && s.cold_share <= 1 && s.overload_factor > 0, "cold_share");
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/tests/attempts_test.cpp
+++ b/tests/attempts_test.cpp
@@ -4,7 +4,7 @@
 
 #include "rig.h"
 
-using namespace puffinhill;
+using namespace grademux;
 using Ids = std::vector<std::string>;
 
 namespace {
--- a/tests/health_test.cpp
+++ b/tests/health_test.cpp
@@ -3,7 +3,7 @@
 
 #include "rig.h"
 
-using namespace puffinhill;
+using namespace grademux;
 
 namespace {
 
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -3,7 +3,7 @@
 
 #include "rig.h"
 
-using namespace puffinhill;
+using namespace grademux;
 using Ids = std::vector<std::string>;
 
 namespace {
@@ -25,13 +25,13 @@
   s.list = ListMode::ask;
   Rig r(s);
   r.list({makeEndpoint("e1", 1)});
-  EXPECT_EQ(r.got<puffinhill::Watch>().size(), 1u);
+  EXPECT_EQ(r.got<grademux::Watch>().size(), 1u);
   r.at(kS).run({ListUpdate{ListKind::failed, {}}});
-  EXPECT_TRUE(r.got<puffinhill::Watch>().empty());
+  EXPECT_TRUE(r.got<grademux::Watch>().empty());
   std::size_t asked = 0;
   for (int i = 0; i < 100; ++i) {
     r.at(kS + (i + 1) * 50 * kMs).wake();
-    asked += r.got<puffinhill::Watch>().size();
+    asked += r.got<grademux::Watch>().size();
   }
   EXPECT_EQ(asked, 1u);
 }
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 constexpr Micros kMs = 1000;
 constexpr Micros kS = 1000000;
@@ -128,4 +128,4 @@
   std::map<std::string, Micros> timeout;
 };
 
-}  // namespace puffinhill
+}  // namespace grademux
--- a/tests/throwing_sender.cpp
+++ b/tests/throwing_sender.cpp
@@ -1,9 +1,9 @@
 // A module whose every decision throws, linked with the adapter to show what becomes of it on the wire.
 #include <stdexcept>
 
-#include "puffinhill/sender.h"
+#include "grademux/sender.h"
 
-namespace puffinhill {
+namespace grademux {
 
 struct Sender::Impl {};
 Sender::Sender(Settings, std::uint64_t) {}
@@ -14,4 +14,4 @@
   throw std::out_of_range("tag without a message");
 }
 
-}  // namespace puffinhill
+}  // namespace grademux
