--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -99,7 +99,7 @@
   if (!destinations_.count(m.destination)) return reply("-ERR unknown destination");
   auto known = held_.find(m.id);
   if (known != held_.end()) return reply(known->second.reply ? "-ERR handed in twice" : "+OK");
-  if (!journal_.hasRoom(m)) return reply(busy(settings_.max_pause));
+  if (!journal_.reserve(m)) return reply(busy(settings_.max_pause));
   Arrival a;
   a.id = m.id;
   a.message_class = m.message_class;
@@ -129,10 +129,8 @@
   add(std::move(o));
 }
 
-void Host::told(const std::string& id) {
-  journal_.over(id);
-  journal_.flush();
-}
+// Written with the next turn: until then a restart would tell it once more, which does no harm.
+void Host::told(const std::string& id) { journal_.over(id); }
 
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint32_t kLargest = 4u << 20;
 constexpr std::uint64_t kBlock = 512;
 // Bytes kept free for each message taken on: its attempts, their ends and its notice.
-constexpr std::uint64_t kSeeThrough = 640;
+constexpr std::uint64_t kSeeThrough = 1536;
 // Compaction is worth its writes once this much, and more than half of the file, is of messages long over.
 constexpr std::uint64_t kLeastWaste = 64u << 10;
 
@@ -265,10 +265,15 @@
   return live;
 }
 
-bool Journal::hasRoom(const TakenOn& m) const {
-  const std::uint64_t one = sizeOf(m) + kSeeThrough, live = live_ + one;
-  // Right after a compaction the file holds what is live, and the next one writes as much again beside it.
-  return blocks(live) + blocks(live) + kLeastWaste + 2 * kBlock <= disk_;
+// Guards against a message that is taken on and then can't be kept. Right after a compaction the file holds
+// what is live, and the next one writes as much again beside it.
+bool Journal::reserve(const TakenOn& m) {
+  const std::uint64_t more = reserved_ + sizeOf(m) + kSeeThrough, live = live_ + more;
+  auto fits = [&](std::uint64_t file) { return blocks(file) + blocks(live) + kLeastWaste <= disk_; };
+  if (!fits(live)) return false;
+  if (!fits(size_ + buffer_.size() + more) && (!compact() || !fits(size_ + more))) return false;
+  reserved_ = more;
+  return true;
 }
 
 void Journal::append(const std::string& payload) {
@@ -310,6 +315,7 @@
 
 // Old and new file are there together for a moment, so compaction comes while both still fit the budget.
 bool Journal::flush() {
+  reserved_ = 0;
   if (buffer_.empty()) return true;
   const std::uint64_t after = size_ + buffer_.size();
   const bool must = blocks(after) + blocks(live_) + kLeastWaste > disk_;
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -56,8 +56,9 @@
   const Recovered& recovered() const { return recovered_; }
   void forgetRecovered() { recovered_ = {}; }
 
-  // Is there room to take this on and to see it through, old and new file together?
-  bool hasRoom(const TakenOn& m) const;
+  // Keeps room to take this on and to see it through, old and new file together. It holds until the next
+  // flush, by when the message is either taken on or refused. False: there is none.
+  bool reserve(const TakenOn& m);
 
   // Each of these appends to a buffer; flush() writes it. False: nothing was written, the buffer waits for
   // the next flush, and what it promises must not be done.
@@ -80,7 +81,7 @@
   bool writeAll(int fd, const std::string& data);
 
   std::string path_, fresh_path_;
-  std::uint64_t disk_ = 0, size_ = 0, live_ = 0, next_order_ = 0;
+  std::uint64_t disk_ = 0, size_ = 0, live_ = 0, reserved_ = 0, next_order_ = 0;
   int fd_ = -1;
   std::string buffer_;
   std::map<std::string, Entry> entries_;
--- /dev/null
+++ b/tests/net/loopback.h
@@ -0,0 +1,434 @@
+// Helpers for the tests over loopback sockets: an endpoint with a scripted answer, an agent of discovery, a
+// client and the real program as a child process. All on ephemeral ports; waits are on events, with generous
+// limits.
+#pragma once
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace grademux::loopback {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr auto kLong = 60s;  // a wait that takes this long has failed
+
+class TempFolder {
+ public:
+  TempFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "grademux-XXXXXX").string();
+    path_ = ::mkdtemp(pattern.data());
+  }
+  ~TempFolder() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+struct Listener {
+  Listener() {
+    fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(0, ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a));
+    EXPECT_EQ(0, ::listen(fd, 64));
+    socklen_t n = sizeof a;
+    ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n);
+    port = ntohs(a.sin_port);
+  }
+  ~Listener() { close(); }
+  void close() {
+    if (fd >= 0) ::close(fd);
+    fd = -1;
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+  int fd = -1;
+  int port = 0;
+};
+
+// Waits for what has no event of its own.
+inline bool eventually(const std::function<bool()>& holds) {
+  const auto until = std::chrono::steady_clock::now() + kLong;
+  while (!holds()) {
+    if (std::chrono::steady_clock::now() > until) return false;
+    std::this_thread::sleep_for(5ms);
+  }
+  return true;
+}
+
+// A port that nothing listens on.
+inline std::string closedAddress() {
+  Listener l;
+  return l.address();
+}
+
+struct Seen {  // a request as a server had it
+  std::string head, body;
+  std::size_t connection = 0, on_it = 0;  // which connection, and the how manieth request on it
+  std::string field(const std::string& name) const {
+    const auto at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos) return "";
+    const auto from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
+  }
+};
+
+// What a server does with a request: bytes to answer, and whether it then ends the connection, resets it, or
+// (with neither) keeps it.
+struct Act {
+  std::string bytes;
+  bool close = false, reset = false, silent = false;
+};
+inline std::string answer(const std::string& status, const std::string& fields = "",
+                          const std::string& body = "") {
+  return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields +
+         "\r\n" + body;
+}
+
+// A server of raw HTTP on loopback, a thread for each connection.
+class Server {
+ public:
+  using Script = std::function<Act(const Seen&)>;
+  explicit Server(Script script) : script_(std::move(script)), thread_([this] { acceptLoop(); }) {}
+  ~Server() {
+    stop_ = true;
+    thread_.join();
+    for (auto& t : connections_) t.join();
+  }
+  std::string address() const { return listener_.address(); }
+  std::vector<Seen> seen() {
+    std::lock_guard<std::mutex> l(mutex_);
+    return seen_;
+  }
+  bool waitFor(std::size_t count) {
+    std::unique_lock<std::mutex> l(mutex_);
+    return changed_.wait_for(l, kLong, [&] { return seen_.size() >= count; });
+  }
+  std::size_t closedByPeer() const { return closed_by_peer_; }
+
+ private:
+  static bool readable(int fd) {
+    pollfd p{fd, POLLIN, 0};
+    return ::poll(&p, 1, 20) > 0;
+  }
+  void acceptLoop() {
+    for (std::size_t n = 0; !stop_;) {
+      if (!readable(listener_.fd)) continue;
+      const int fd = ::accept4(listener_.fd, nullptr, nullptr, SOCK_CLOEXEC);
+      if (fd >= 0) connections_.emplace_back([this, fd, id = n++] { serve(fd, id); });
+    }
+  }
+  void serve(int fd, std::size_t id) {
+    std::string in;
+    std::size_t on_it = 0;
+    bool reset = false;
+    while (!stop_) {
+      const auto end = in.find("\r\n\r\n");
+      if (end != std::string::npos) {
+        Seen s;
+        s.head = in.substr(0, end + 2);
+        const std::string length = s.field("Content-Length");
+        const std::size_t size = length.empty() ? 0 : std::stoul(length);
+        if (in.size() >= end + 4 + size) {
+          s.body = in.substr(end + 4, size);
+          in.erase(0, end + 4 + size);
+          s.connection = id;
+          s.on_it = on_it++;
+          {
+            std::lock_guard<std::mutex> l(mutex_);
+            seen_.push_back(s);
+          }
+          changed_.notify_all();
+          const Act a = script_(s);
+          if (!a.bytes.empty()) (void)!::send(fd, a.bytes.data(), a.bytes.size(), MSG_NOSIGNAL);
+          reset = a.reset;
+          if (a.close || a.reset) break;
+          continue;
+        }
+      }
+      if (!readable(fd)) continue;
+      char piece[4096];
+      const ssize_t n = ::recv(fd, piece, sizeof piece, 0);
+      if (n <= 0) {
+        ++closed_by_peer_;
+        break;
+      }
+      in.append(piece, static_cast<std::size_t>(n));
+    }
+    if (reset) {
+      const linger hard{1, 0};
+      ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+    }
+    ::close(fd);
+  }
+
+  Script script_;
+  Listener listener_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<Seen> seen_;
+  std::vector<std::thread> connections_;
+  std::atomic<bool> stop_{false};
+  std::atomic<std::size_t> closed_by_peer_{0};
+  std::thread thread_;
+};
+
+// The agent of discovery: answers a watch when there is news, and takes notices.
+class Agent {
+ public:
+  Agent() : server_([this](const Seen& s) { return act(s); }) {}
+  ~Agent() {
+    stop_ = true;
+    changed_.notify_all();
+  }
+  std::string address() const { return server_.address(); }
+  void tell(json endpoints) {
+    std::lock_guard<std::mutex> l(mutex_);
+    ++index_;
+    news_ = std::move(endpoints);
+    changed_.notify_all();
+  }
+  bool waitForNotice(const std::string& message) {
+    std::unique_lock<std::mutex> l(mutex_);
+    return changed_.wait_for(l, kLong, [&] { return notices_.count(message) > 0; });
+  }
+  // A watch from this version or later was asked for: what came before has been read.
+  bool waitForWatch(long from) {
+    std::unique_lock<std::mutex> l(mutex_);
+    return changed_.wait_for(l, kLong, [&] { return asked_ >= from; });
+  }
+  json notice(const std::string& message) {
+    std::lock_guard<std::mutex> l(mutex_);
+    return notices_[message];
+  }
+  std::size_t noticeCount() {
+    std::lock_guard<std::mutex> l(mutex_);
+    return notices_.size();
+  }
+  std::atomic<bool> refuse_notices{false};
+  std::atomic<int> refused{0};
+
+ private:
+  Act act(const Seen& s) {
+    if (s.head.rfind("POST /v1/notices", 0) == 0) {
+      if (refuse_notices) {
+        ++refused;
+        return {answer("503 Busy"), false, false, false};
+      }
+      std::lock_guard<std::mutex> l(mutex_);
+      std::istringstream lines(s.body);
+      for (std::string line; std::getline(lines, line);) {
+        const json n = json::parse(line);
+        notices_[n["message"]] = n;
+      }
+      changed_.notify_all();
+      return {"HTTP/1.1 204 No Content\r\n\r\n", false, false, false};
+    }
+    long from = -1;
+    const auto at = s.head.find("from=");
+    if (at != std::string::npos) from = std::stol(s.head.substr(at + 5));
+    std::unique_lock<std::mutex> l(mutex_);
+    asked_ = std::max(asked_, from);
+    changed_.notify_all();
+    changed_.wait_for(l, kLong, [&] { return stop_ || index_ > from; });
+    if (stop_) return {"", true, false, false};
+    const json body{{"index", index_}, {"snapshot", false}, {"endpoints", news_}};
+    return {answer("200 OK", "", body.dump()), false, false, false};
+  }
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, json> notices_;
+  json news_ = json::array();
+  long index_ = 1, asked_ = -1;
+  std::atomic<bool> stop_{false};
+  Server server_;
+};
+
+inline json listed(const std::string& name, const std::string& address, int group,
+                   const std::string& status = "Ready") {
+  return {{"name", name},   {"address", address}, {"zone", "a"},    {"type", "partner"},
+          {"group", group}, {"status", status},   {"weight", 50.0}, {"since_ms", 0}};
+}
+
+inline json plainSettings() {
+  auto cls = [](const char* name, const char* effect) {
+    return json{{"Name", name},          {"AimMs", 4000.0},  {"DeadlineMs", 28000.0},    {"Group", "all"},
+                {"Idempotency", effect}, {"LateWorth", 0.3}, {"MemorySpanMs", 120000.0}, {"Worth", 1.0}};
+  };
+  return {{"Azs", {"a"}},
+          {"Balancers", 1},
+          {"Categories",
+           {cls("notice", "idempotent"), cls("order", "deduplicated"), cls("payment", "at_most_once")}},
+          {"Ceilings",
+           {{"ConnIdleMs", 5000.0},
+            {"DialTimeoutMs", 1000.0},
+            {"MaxAttempts", 12},
+            {"MaxOpen", 100},
+            {"MaxRetryAfterMs", 3000.0},
+            {"MayCancel", true},
+            {"ParallelTries", true},
+            {"RetryAfter", true}}},
+          {"Domain", {{"CallSlots", 8}, {"Late", "line"}, {"PerCall", {1}}, {"RoutesApart", {false}}}},
+          {"Kinds", {"partner"}},
+          {"Rules",
+           {{"AnswerSlackMs", 20.0},
+            {"ColdShare", 0.29},
+            {"DrainGraceMs", 250.0},
+            {"FallMs", 2000.0},
+            {"OverloadFactor", 1.5},
+            {"RampTimeMs", 11000.0}}},
+          {"Stats", {{"Fields", {"x0", "x1"}}, {"How", "piggyback"}}},
+          {"TickMs", 5.0},
+          {"WeightKind", "rough"}};
+}
+
+class Client {
+ public:
+  explicit Client(int port) {
+    fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a{};
+    a.sin_family = AF_INET;
+    a.sin_port = htons(static_cast<std::uint16_t>(port));
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connected_ = ::connect(fd_, reinterpret_cast<sockaddr*>(&a), sizeof a) == 0;
+  }
+  ~Client() { ::close(fd_); }
+  bool connected() const { return connected_; }
+  void send(const std::string& bytes) {
+    for (std::size_t done = 0; done < bytes.size();) {
+      const ssize_t n = ::send(fd_, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
+      if (n <= 0) return;
+      done += static_cast<std::size_t>(n);
+    }
+  }
+  // One line without its end; empty if the connection ended first.
+  std::string line() {
+    for (;;) {
+      const auto end = in_.find("\r\n");
+      if (end != std::string::npos) {
+        std::string l = in_.substr(0, end);
+        in_.erase(0, end + 2);
+        return l;
+      }
+      pollfd p{fd_, POLLIN, 0};
+      if (::poll(&p, 1, static_cast<int>(std::chrono::milliseconds(kLong).count())) <= 0) return "";
+      char piece[1024];
+      const ssize_t n = ::recv(fd_, piece, sizeof piece, 0);
+      if (n <= 0) return "";
+      in_.append(piece, static_cast<std::size_t>(n));
+    }
+  }
+  bool ended() { return line().empty(); }
+  static std::string request(const std::vector<std::string>& words) {
+    std::string out = "*" + std::to_string(words.size()) + "\r\n";
+    for (const auto& w : words) out += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
+    return out;
+  }
+  std::string ask(const std::vector<std::string>& words) {
+    send(request(words));
+    return line();
+  }
+  std::string put(const std::string& id, const std::string& cls, int dest, const std::string& body = "body",
+                  int may_last_ms = 28000) {
+    return ask(
+        {"MSG.PUT", "0000000000000000", id,
+         "c=" + cls + ",d=" + std::to_string(may_last_ms) + ",k=k" + id + ",dest=" + std::to_string(dest),
+         body});
+  }
+
+ private:
+  int fd_ = -1;
+  bool connected_ = false;
+  std::string in_;
+};
+
+// The real program as a child, with its folder that lasts.
+class Program {
+ public:
+  Program(const std::string& state, const std::string& discovery, json endpoints, double disk_mb = 3,
+          json settings = plainSettings())
+      : state_(state), discovery_(discovery) {
+    config_ = {{"name", "n0"},
+               {"seed", "8c1f30d27a5be964"},
+               {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", disk_mb}}},
+               {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(endpoints)}}},
+               {"settings", std::move(settings)}};
+    start();
+  }
+  ~Program() {
+    if (pid_ > 0) kill();
+  }
+
+  // Starts it and waits until it answers PING.
+  void start() {
+    port_ = Listener().port;  // free a moment ago; the program listens with SO_REUSEADDR
+    config_["listen"] = "127.0.0.1:" + std::to_string(port_);
+    config_["discovery"] = discovery_;
+    const std::string path = state_ + "-config.json";
+    std::ofstream(path) << config_.dump();
+    pid_ = spawn(path, state_);
+    const auto until = std::chrono::steady_clock::now() + kLong;
+    while (std::chrono::steady_clock::now() < until) {
+      Client c(port_);
+      if (c.connected() && c.ask({"PING"}) == "+PONG") return;
+      std::this_thread::sleep_for(10ms);
+    }
+    ADD_FAILURE() << "the program does not answer PING";
+  }
+  static pid_t spawn(const std::string& config, const std::string& state) {
+    const pid_t pid = ::fork();
+    if (pid == 0) {
+      ::setenv("GW_CONFIG", config.c_str(), 1);
+      ::setenv("GW_STATE", state.c_str(), 1);
+      ::unsetenv("GW_LISTEN");
+      ::unsetenv("GW_DISCOVERY");
+      ::execl(GRADEMUX_SENDER, GRADEMUX_SENDER, static_cast<char*>(nullptr));
+      ::_exit(127);
+    }
+    return pid;
+  }
+  void signal(int number) { ::kill(pid_, number); }
+  int wait() {
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return status;
+  }
+  void kill() {
+    signal(SIGKILL);
+    wait();
+  }
+  int port() const { return port_; }
+
+ private:
+  std::string state_, discovery_;
+  json config_;
+  int port_ = 0;
+  pid_t pid_ = -1;
+};
+
+}  // namespace grademux::loopback
--- /dev/null
+++ b/tests/net_endpoints_test.cpp
@@ -0,0 +1,191 @@
+// Calls over loopback sockets: each row of the protocol's table of outcomes, and the pool of connections.
+#include <boost/asio/io_context.hpp>
+
+#include "../src/net/endpoints.h"
+#include "net/loopback.h"
+
+namespace grademux {
+namespace {
+
+using loopback::Act;
+using loopback::answer;
+using loopback::Seen;
+using loopback::Server;
+
+struct Pool {
+  explicit Pool(Micros conn_idle = 60'000'000, Micros dial = 5'000'000)
+      : endpoints(io, {dial, conn_idle, 16}, [this](Outcome o) { outcomes.push_back(std::move(o)); }) {}
+
+  TakenOn message(const std::string& id) {
+    TakenOn m;
+    m.id = id;
+    m.idempotency_key = "5c0f6e1a2b3d4c59";
+    m.body = std::string("any\0bytes\r\n", 11);
+    return m;
+  }
+  // Makes a call and waits for its outcome.
+  Outcome call(const std::string& id, Micros timeout = 60'000'000) {
+    const std::size_t before = outcomes.size();
+    endpoints.call(message(id), 0, "e", timeout);
+    return waitFor(before + 1);
+  }
+  Outcome waitFor(std::size_t count) {
+    const auto until = std::chrono::steady_clock::now() + loopback::kLong;
+    while (outcomes.size() < count && std::chrono::steady_clock::now() < until) {
+      io.restart();
+      io.run_one_for(std::chrono::seconds(1));
+    }
+    EXPECT_EQ(count, outcomes.size());
+    return outcomes.empty() ? Outcome{} : outcomes.back();
+  }
+
+  boost::asio::io_context io;
+  std::vector<Outcome> outcomes;
+  Endpoints endpoints;
+};
+
+Outcome outcomeOf(const Act& act, Micros timeout = 60'000'000) {
+  Server s([&](const Seen&) { return act; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  return p.call("m", timeout);
+}
+
+struct Row {
+  const char* name;
+  Act act;
+  Result result;
+  bool finished;
+  Micros wait;
+};
+class Outcomes : public ::testing::TestWithParam<Row> {};
+
+TEST_P(Outcomes, AreThoseOfTheTable) {
+  const Row& r = GetParam();
+  const Outcome o = outcomeOf(r.act);
+  EXPECT_EQ(r.result, o.result);
+  EXPECT_EQ(r.finished, o.finished);
+  EXPECT_EQ(r.wait, o.wait);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, Outcomes,
+    ::testing::Values(
+        Row{"delivered", {answer("200 OK", "", "fine")}, Result::ok, true, 0},
+        Row{"delivered_body_lost",
+            {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", true},
+            Result::ok,
+            true,
+            0},
+        Row{"error", {answer("500 Oops")}, Result::error, false, 0},
+        Row{"told_to_wait", {answer("429 Slow", "Retry-After: 0.25\r\n")}, Result::full, false, 250'000},
+        Row{"told_nonsense", {answer("429 Slow", "Retry-After: soon\r\n")}, Result::full, false, 0},
+        Row{"turned_away", {answer("503 Full")}, Result::full, false, 0},
+        Row{"no_slot", {answer("503 Full", "X-Egress-Full: 1\r\n")}, Result::not_sent, false, 0},
+        Row{"used_up", {answer("504 Used")}, Result::not_sent, false, 0},
+        Row{"over", {answer("410 Gone")}, Result::not_sent, true, 0},
+        Row{"unknown_status", {answer("418 Tea")}, Result::error, false, 0},
+        Row{"garbled", {"no http at all\r\n\r\n", true}, Result::reset, false, 0},
+        Row{"ended", {"", true}, Result::reset, false, 0},
+        Row{"reset", {"", false, true}, Result::reset, false, 0},
+        Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
+    [](const auto& i) { return std::string(i.param.name); });
+
+TEST(Endpoints, SilenceEndsInATimeOutAndClosesTheConnection) {
+  Server s([](const Seen&) { return Act{}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  const Outcome o = p.call("m", 200'000);
+  EXPECT_EQ(Result::timeout, o.result);
+  EXPECT_FALSE(o.finished);
+  EXPECT_EQ(0u, p.endpoints.idle());
+}
+
+TEST(Endpoints, ARefusedConnectionNeverRan) {
+  Pool p;
+  p.endpoints.address("e", loopback::closedAddress());
+  EXPECT_EQ(Result::connect_failed, p.call("m").result);
+  p.endpoints.address("e", "nonsense");
+  EXPECT_EQ(Result::connect_failed, p.call("n").result);
+}
+
+// A call is written whole and once: id, key and body unchanged, and how long the sender will wait.
+TEST(Endpoints, ACallCarriesTheMessageUnchanged) {
+  Server s([](const Seen&) { return Act{answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n")}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  const Outcome o = p.call("9b1f03aa5c7e2d41", 1'500'000);
+  ASSERT_EQ(1u, s.seen().size());
+  const Seen seen = s.seen()[0];
+  EXPECT_EQ(0u, seen.head.find("POST /hook HTTP/1.1\r\n"));
+  EXPECT_EQ("9b1f03aa5c7e2d41", seen.field("X-Txn"));
+  EXPECT_EQ("5c0f6e1a2b3d4c59", seen.field("Idempotency-Key"));
+  EXPECT_EQ("1500", seen.field("X-Remaining-Ms"));
+  EXPECT_EQ(p.message("").body, seen.body);
+  ASSERT_TRUE(o.report);
+  EXPECT_DOUBLE_EQ(0.4, o.report->left);
+  EXPECT_DOUBLE_EQ(25, o.report->limit);
+}
+
+TEST(Endpoints, ConnectionsAreReusedAndClosedOnDemand) {
+  Server s([](const Seen&) { return Act{answer("200 OK")}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  p.call("a");
+  p.call("b");
+  EXPECT_EQ(s.seen()[0].connection, s.seen()[1].connection);
+  p.endpoints.closeIdle("e");
+  EXPECT_EQ(0u, p.endpoints.idle());
+  p.call("c");
+  EXPECT_NE(s.seen()[1].connection, s.seen()[2].connection);
+}
+
+// Guards against a request that is written to a connection the endpoint has closed: it would end as a reset,
+// and an unsafe message would be lost by it.
+TEST(Endpoints, AConnectionClosedByTheEndpointIsNotWrittenTo) {
+  Server s([](const Seen&) { return Act{answer("200 OK"), true}; });  // closes, without saying so
+  Pool p;
+  p.endpoints.address("e", s.address());
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Result::ok, p.call("m" + std::to_string(i)).result);
+    p.io.restart();
+    p.io.run_for(std::chrono::milliseconds(50));  // time for the end to arrive
+  }
+}
+
+TEST(Endpoints, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
+  Server s([](const Seen&) { return Act{answer("200 OK")}; });
+  Pool p(100'000);
+  p.endpoints.address("e", s.address());
+  p.call("a");
+  EXPECT_EQ(1u, p.endpoints.idle());
+  const auto until = std::chrono::steady_clock::now() + loopback::kLong;
+  while (p.endpoints.idle() > 0 && std::chrono::steady_clock::now() < until) {
+    p.io.restart();
+    p.io.run_one_for(std::chrono::seconds(1));
+  }
+  EXPECT_EQ(0u, p.endpoints.idle());
+}
+
+TEST(Endpoints, ACallIsCalledOffByClosingAndHasOneOutcome) {
+  Server s([](const Seen&) { return Act{}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  p.endpoints.call(p.message("m"), 3, "e", 60'000'000);
+  while (s.seen().empty()) {
+    p.io.restart();
+    p.io.run_one_for(std::chrono::milliseconds(20));
+  }
+  p.endpoints.cancel("m", 3);
+  p.endpoints.cancel("m", 3);
+  const Outcome o = p.waitFor(1);
+  EXPECT_EQ(Result::cancelled, o.result);
+  EXPECT_EQ(3, o.attempt);
+  EXPECT_EQ(0u, p.endpoints.out());
+  p.io.restart();
+  p.io.run_for(std::chrono::milliseconds(50));
+  EXPECT_EQ(1u, p.outcomes.size());
+}
+
+}  // namespace
+}  // namespace grademux
--- /dev/null
+++ b/tests/net_journal_test.cpp
@@ -0,0 +1,168 @@
+// The journal on files alone: what a killed process leaves, torn and damaged records, a full budget.
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "../src/net/journal.h"
+#include "net/loopback.h"
+
+namespace grademux {
+namespace {
+
+using loopback::TempFolder;
+
+TakenOn message(const std::string& id, std::size_t size = 20) {
+  TakenOn m;
+  m.id = id;
+  m.message_class = "payment";
+  m.idempotency_key = "key" + id;
+  m.body = std::string(size, 'b') + '\0' + "\r\n";
+  m.destination = 7;
+  m.give_up_at = 123456789;
+  return m;
+}
+
+std::string readFile(const std::string& path) {
+  std::ifstream f(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(f), {}};
+}
+void writeFile(const std::string& path, const std::string& data) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << data;
+}
+
+TEST(Journal, GivesBackWhatIsOpenInTheOrderTaken) {
+  TempFolder t;
+  {
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("b"));
+    j.accepted(message("a"));
+    j.accepted(message("c"));
+    j.attempted("a", {"e1", 55, false});
+    j.attempted("a", {"e2", 66, false});
+    j.neverRan("a", 0);
+    j.over("c");
+    j.noticeOwed("b", {true, 250});
+    ASSERT_TRUE(j.flush());
+  }
+  Journal j(t.path(), 3'000'000);
+  const auto& r = j.recovered();
+  ASSERT_EQ(2u, r.entries.size());
+  EXPECT_EQ("b", r.entries[0].message.id);
+  EXPECT_TRUE(r.entries[0].ended && r.entries[0].notice.handed_back);
+  EXPECT_EQ(250, r.entries[0].notice.retry_in_ms);
+  const auto& a = r.entries[1];
+  EXPECT_EQ(message("a").body, a.message.body);
+  EXPECT_EQ("keya", a.message.idempotency_key);
+  EXPECT_EQ(7, a.message.destination);
+  EXPECT_EQ(123456789, a.message.give_up_at);
+  ASSERT_EQ(2u, a.attempts.size());
+  EXPECT_TRUE(a.attempts[0].never_ran);
+  EXPECT_FALSE(a.attempts[1].never_ran);
+  EXPECT_EQ("e2", a.attempts[1].endpoint);
+  EXPECT_EQ(66, a.attempts[1].sent);
+  EXPECT_FALSE(r.torn);
+  EXPECT_EQ(0u, r.damaged);
+}
+
+TEST(Journal, CutsATornTailAtEveryLengthAndKeepsTheRest) {
+  TempFolder t;
+  const std::string path = t.path() + "/journal";
+  {
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("a"));
+    j.flush();
+  }
+  const std::string first = readFile(path);
+  {
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("b"));
+    j.flush();
+  }
+  const std::string both = readFile(path);
+  for (std::size_t size = first.size(); size < both.size(); ++size) {
+    writeFile(path, both.substr(0, size));
+    {
+      Journal j(t.path(), 3'000'000);
+      ASSERT_EQ(1u, j.recovered().entries.size()) << size;
+      EXPECT_EQ(size > first.size(), j.recovered().torn);
+      j.accepted(message("c"));  // what comes after the cut is sound
+      ASSERT_TRUE(j.flush());
+    }
+    Journal again(t.path(), 3'000'000);
+    ASSERT_EQ(2u, again.recovered().entries.size()) << size;
+  }
+}
+
+// A damaged record may have been an attempt of what was open: it must not be sent as if untried.
+TEST(Journal, PassesOverADamagedRecordAndDoubtsWhatWasOpen) {
+  TempFolder t;
+  const std::string path = t.path() + "/journal";
+  std::size_t before = 0;
+  {
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("a"));
+    j.flush();
+    before = std::filesystem::file_size(path);
+    j.attempted("a", {"e1", 55, false});
+    j.flush();
+    j.accepted(message("b"));
+    j.flush();
+  }
+  const std::string whole = readFile(path);
+  for (std::size_t at = before; at < before + 20; ++at) {
+    std::string data = whole;
+    data[at] = static_cast<char>(data[at] ^ 0x55);
+    writeFile(path, data);
+    Journal j(t.path(), 3'000'000);
+    const auto& r = j.recovered();
+    ASSERT_EQ(2u, r.entries.size()) << at;
+    EXPECT_EQ(1u, r.damaged);
+    ASSERT_EQ(1u, r.entries[0].attempts.size());
+    EXPECT_FALSE(r.entries[0].attempts[0].never_ran);
+    EXPECT_TRUE(r.entries[1].attempts.empty());  // taken on after the damage
+  }
+}
+
+std::uint64_t onDisk(const std::string& folder) {
+  std::uint64_t sum = 0;
+  for (const auto& f : std::filesystem::directory_iterator(folder)) sum += (f.file_size() + 511) / 512 * 512;
+  return sum;
+}
+
+// A budget that is exceeded is a crash: so what would not fit is refused, and room comes back with ends.
+TEST(Journal, StaysInsideItsBudgetOldAndNewFileTogether) {
+  TempFolder t;
+  const std::uint64_t budget = 1'000'000;
+  Journal j(t.path(), budget);
+  int taken = 0, refused = 0;
+  std::vector<std::string> open;
+  for (int i = 0; i < 3000; ++i) {
+    const TakenOn m = message("m" + std::to_string(i), 3000);
+    if (!j.reserve(m)) {
+      ++refused;
+      ASSERT_FALSE(open.empty());
+      j.over(open.front());
+      open.erase(open.begin());
+    } else {
+      ++taken;
+      j.accepted(m);
+      open.push_back(m.id);
+      for (int a = 0; a < 12; ++a) j.attempted(m.id, {"s-5be2a07c", i, false});
+    }
+    ASSERT_TRUE(j.flush()) << i;
+    ASSERT_LE(onDisk(t.path()), budget);
+  }
+  EXPECT_GT(taken, 1000);
+  EXPECT_GT(refused, 1000);
+  Journal again(t.path(), budget);
+  EXPECT_EQ(open.size(), again.recovered().entries.size());
+}
+
+TEST(Journal, FailsPlainlyWhereItCannotBeKept) {
+  EXPECT_THROW(Journal("/nonexistent/folder", 3'000'000), std::runtime_error);
+}
+
+}  // namespace
+}  // namespace grademux
