Keep the health of destinations over a restart; tell the module of the list in a turn of its own

Also each answer of discovery called decide() at once, sooner than its tick allows. Changed: the module gives out Ailment when a guard's health changes, the host journals it, the next process hands it back; lists join the next turn, and as sends are made in turns alone none passes them. Ruled out: a second copy of the health logic in the host. Checked: all 84 tests; five new ones of the module (resume by class, attempts counted, ailments, stop, max_open).

--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -115,6 +115,14 @@
   Arrival message;
   std::vector<PastAttempt> attempts;
 };
+// The health of a destination, or of an endpoint that is a route apart, for the next process of this sender:
+// asked to be kept as an action, given back as an event. cold_since in the far past: healthy.
+struct Ailment {
+  std::string endpoint;  // empty: the destination
+  std::int64_t destination = 0;
+  bool down = false;
+  Micros cold_since = 0;
+};
 // This process ends at `at`: an outcome that comes later is not heard.
 struct Stopping {
   Micros at = 0;
@@ -147,7 +155,8 @@
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event = std::variant<Arrival, Resumed, Stopping, Gone, Started, Outcome, Probed, ListUpdate, Wake>;
+using Event =
+    std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, Probed, ListUpdate, Wake>;
 
 // ---- actions
 struct Send {
@@ -176,7 +185,7 @@
 struct WakeIn {
   Micros span = 0;
 };
-using Action = std::variant<Send, Cancel, Refuse, Fail, Probe, Watch, Fetch, CloseIdle, WakeIn>;
+using Action = std::variant<Send, Cancel, Refuse, Fail, Probe, Watch, Fetch, CloseIdle, WakeIn, Ailment>;
 
 class Sender {
  public:
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -381,7 +381,7 @@
 
   void learn(Server& s, Result r, Micros rtt, Micros wait) {
     if (r == Result::cancelled || r == Result::not_sent) return;
-    const bool hard = r != Result::ok && r != Result::full;
+    const bool hard = r != Result::ok && r != Result::full, was_down = scope(s).down;
     active[s.id] = &s;
     if (r == Result::ok) typical += (static_cast<double>(rtt) - typical) / ++typical_of;
     Guard* levels[2] = {&s.guard, apart(s) ? nullptr : &s.dest->guard};
@@ -403,6 +403,26 @@
       }
       if (wait > 0) g.wait_until = std::max(g.wait_until, now + wait + static_cast<Micros>(spread));
     }
+    keepHealth(s, was_down);
+  }
+
+  // What a restart must not forget: the next process resumes a backlog, and would push over what returns
+  // cold.
+  void keepHealth(Server& s, bool was_down) {
+    Guard& g = scope(s);
+    if (g.down == was_down && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
+    g.noted = g.cold_since;
+    acts.push_back(Ailment{apart(s) ? s.id : "", s.dest->id, g.down, g.cold_since});
+  }
+
+  void onAilment(const Ailment& a) {
+    auto s = servers.find(a.endpoint);
+    if (!a.endpoint.empty() && s == servers.end()) return;
+    Guard& g = a.endpoint.empty() ? dests[a.destination].guard : s->second.guard;
+    dests[a.destination].id = a.destination;
+    g.down = a.down;
+    g.cold_since = g.noted = a.cold_since;
+    if (a.down) g.streak = std::max(g.streak, 1);
   }
 
   int laneSlots() const { return std::max(1, static_cast<int>(kLaneShare * set.slots)); }
@@ -900,6 +920,7 @@
 
   void on(const Arrival& e) { onArrival(e); }
   void on(const Resumed& e) { onResumed(e); }
+  void on(const Ailment& e) { onAilment(e); }
   void on(const Stopping& e) { stop_at = e.at; }
   void on(const Outcome& e) { onOutcome(e); }
   void on(const ListUpdate& e) { onList(e); }
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -43,6 +43,10 @@
     takeList(news);
   }
   const Micros shift = monotonicNow() - unixNow();
+  for (Ailment a : r.ailments) {
+    a.cold_since += shift;
+    events_.push_back(a);
+  }
   for (const Journal::Entry& e : r.entries) {
     if (e.ended) {
       notices_.owe(e.message.id, e.notice);
@@ -71,9 +75,7 @@
   const EndpointList::News news = list_.read(answer);
   if (!news.entries.empty() || news.kind != ListKind::delta) {
     journal_.listed(list_.all().dump());
-    takeList(news);
-    // What drains or is gone is told to the module in this very turn of the loop.
-    turn();
+    takeList(news);  // sends are made in turns alone, so none goes before the module has heard this
   }
   return list_.index();
 }
@@ -87,7 +89,7 @@
     if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address);
     if (l.endpoint.state == EndpointState::gone) endpoints_.closeIdle(l.endpoint.id);
   }
-  events_.push_back(std::move(u));
+  add(std::move(u));
 }
 
 void Host::put(Clients::Put put, Clients::Reply reply) {
@@ -165,6 +167,11 @@
   for (const Action& a : actions) {
     if (const auto* r = std::get_if<Refuse>(&a)) end(r->id, true, r->pause);
     if (const auto* f = std::get_if<Fail>(&a)) end(f->id, false, 0);
+    if (const auto* h = std::get_if<Ailment>(&a)) {
+      Ailment kept = *h;
+      kept.cold_since += unixNow() - last_turn_;
+      journal_.ailing(kept);
+    }
   }
   for (const std::string& id : fresh_) journal_.accepted(held_.at(id).message);
   std::vector<std::pair<const Send*, int>> sends;
--- a/src/net/journal.cpp
+++ b/src/net/journal.cpp
@@ -30,7 +30,7 @@
   kOwed = 'W',
   kOver = 'O',
   kList = 'L',
-  kFailing = 'F'
+  kAiling = 'H'
 };
 
 std::uint32_t crcOf(const char* data, std::size_t size) {
@@ -120,8 +120,8 @@
   return Writer(kOwed).text(id).number(n.handed_back).number(n.retry_in_ms).out();
 }
 std::string listPayload(const std::string& list) { return Writer(kList).text(list).out(); }
-std::string failingPayload(const std::string& d, Micros when) {
-  return Writer(kFailing).text(d).number(when).out();
+std::string ailingPayload(const Ailment& a) {
+  return Writer(kAiling).text(a.endpoint).number(a.destination).number(a.down).number(a.cold_since).out();
 }
 
 std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
@@ -159,7 +159,7 @@
   std::sort(recovered_.entries.begin(), recovered_.entries.end(),
             [](const Entry& a, const Entry& b) { return a.order < b.order; });
   recovered_.list = list_;
-  recovered_.failing = failing_;
+  for (const auto& [key, a] : ailments_) recovered_.ailments.push_back(a);
   live_ = liveBytes();
   if (recovered_.damaged > 0) compact();
 }
@@ -219,8 +219,13 @@
     return;
   }
   const std::string id = r.text();
-  if (type == kFailing) {
-    failing_[id] = r.number();
+  if (type == kAiling) {
+    Ailment a;
+    a.endpoint = id;
+    a.destination = r.number();
+    a.down = r.number() != 0;
+    a.cold_since = r.number();
+    ailments_[{a.destination, a.endpoint}] = a;
     return;
   }
   if (type == kAccepted) {
@@ -260,7 +265,7 @@
 }
 
 std::uint64_t Journal::liveBytes() const {
-  std::uint64_t live = 2 * (kHeader + 16) + list_.size() + failing_.size() * 64;
+  std::uint64_t live = 2 * (kHeader + 16) + list_.size() + ailments_.size() * 128;
   for (const auto& [id, e] : entries_) live += sizeOf(e.message) + kSeeThrough;
   return live;
 }
@@ -298,8 +303,8 @@
   append(listPayload(list));
   live_ = liveBytes();
 }
-void Journal::failing(const std::string& destination, Micros when) {
-  append(failingPayload(destination, when));
+void Journal::ailing(const Ailment& a) {
+  append(ailingPayload(a));
   live_ = liveBytes();
 }
 
@@ -338,7 +343,7 @@
   std::sort(order.begin(), order.end(), [](const Entry* a, const Entry* b) { return a->order < b->order; });
   std::string data;
   if (!list_.empty()) data += framed(listPayload(list_));
-  for (const auto& [destination, when] : failing_) data += framed(failingPayload(destination, when));
+  for (const auto& [key, a] : ailments_) data += framed(ailingPayload(a));
   for (const Entry* e : order) {
     data += framed(acceptedPayload(e->message));
     for (std::size_t i = 0; i < e->attempts.size(); ++i) {
--- a/src/net/journal.h
+++ b/src/net/journal.h
@@ -40,11 +40,11 @@
     std::uint64_t order = 0;
   };
   struct Recovered {
-    std::vector<Entry> entries;             // in the order in which they were taken on
-    std::string list;                       // discovery's last list, empty if none
-    std::map<std::string, Micros> failing;  // destinations seen failing, and when last; Unix time
-    std::size_t damaged = 0;                // stretches that could not be read
-    bool torn = false;                      // the tail was cut
+    std::vector<Entry> entries;     // in the order in which they were taken on
+    std::string list;               // discovery's last list, empty if none
+    std::vector<Ailment> ailments;  // times in Unix time
+    std::size_t damaged = 0;        // stretches that could not be read
+    bool torn = false;              // the tail was cut
   };
 
   // Opens or creates the journal in `folder`. Throws std::runtime_error when that can't be done.
@@ -68,7 +68,7 @@
   void noticeOwed(const std::string& id, const Notice& n);
   void over(const std::string& id);  // delivered, withdrawn, or its notice was answered
   void listed(const std::string& list);
-  void failing(const std::string& destination, Micros when);
+  void ailing(const Ailment& a);  // in Unix time
   bool flush();
 
  private:
@@ -86,7 +86,7 @@
   std::string buffer_;
   std::map<std::string, Entry> entries_;
   std::string list_;
-  std::map<std::string, Micros> failing_;
+  std::map<std::pair<std::int64_t, std::string>, Ailment> ailments_;  // the latest of each
   Recovered recovered_;
 };
 
--- a/src/simhost.cpp
+++ b/src/simhost.cpp
@@ -187,7 +187,8 @@
     events.swap(i.events);
     if (events.empty()) return;
     try {
-      for (const Action& a : i.sender.decide(now, events)) cmds.push_back(command(i, who, a));
+      for (const Action& a : i.sender.decide(now, events))
+        if (json c = command(i, who, a); !c.is_null()) cmds.push_back(std::move(c));
     } catch (const std::exception& e) { faults_.emplace_back(who, e.what()); }
   }
 
@@ -207,6 +208,7 @@
       }
       json operator()(const Fail& a) const { return {{"FinishError", {{"Who", who}, {"OpId", a.id}}}}; }
       json operator()(const Probe& a) const { return {{"Poll", {{"Who", who}, {"Endpoint", a.endpoint}}}}; }
+      json operator()(const Ailment&) const { return nullptr; }  // here nothing outlasts a process
       json operator()(const grademux::Watch&) const { return {{"Watch", {{"Who", who}, {"Active", true}}}}; }
       json operator()(const Fetch&) const { return {{"Fetch", {{"Who", who}}}}; }
       json operator()(const CloseIdle& a) const {
--- a/tests/net_journal_test.cpp
+++ b/tests/net_journal_test.cpp
@@ -44,6 +44,9 @@
     j.neverRan("a", 0);
     j.over("c");
     j.noticeOwed("b", {true, 250});
+    j.ailing({"", 7, false, 11});
+    j.ailing({"", 7, true, 99});
+    j.listed("{\"index\":4}");
     ASSERT_TRUE(j.flush());
   }
   Journal j(t.path(), 3'000'000);
@@ -62,6 +65,10 @@
   EXPECT_FALSE(a.attempts[1].never_ran);
   EXPECT_EQ("e2", a.attempts[1].endpoint);
   EXPECT_EQ(66, a.attempts[1].sent);
+  ASSERT_EQ(1u, r.ailments.size());  // the latest of a destination
+  EXPECT_TRUE(r.ailments[0].down);
+  EXPECT_EQ(99, r.ailments[0].cold_since);
+  EXPECT_EQ("{\"index\":4}", r.list);
   EXPECT_FALSE(r.torn);
   EXPECT_EQ(0u, r.damaged);
 }
--- /dev/null
+++ b/tests/restart_test.cpp
@@ -0,0 +1,107 @@
+// What one process of the sender leaves to the next: resumed messages, health, and the end of a process.
+#include <set>
+
+#include "rig.h"
+
+namespace grademux {
+namespace {
+
+Resumed resumed(const Rig& rig, const std::string& id, const std::string& cls,
+                std::vector<PastAttempt> past) {
+  Resumed r;
+  r.message.id = id;
+  r.message.message_class = cls;
+  r.message.destination = 1;
+  r.message.give_up_at = rig.now + 15 * kS;
+  r.attempts = std::move(past);
+  return r;
+}
+
+TEST(Restart, WhatMayHaveRunGoesAgainOnlyAsItsClassAllows) {
+  Rig rig;
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  const PastAttempt old{"e", 90 * kS, true}, young{"e", 99 * kS, true}, none{"e", 99 * kS, false};
+  const PastAttempt unlisted{"elsewhere", 99 * kS, true};
+  const auto sent =
+      rig.run({resumed(rig, "safe", "safe", {old}), resumed(rig, "keyed", "keyed", {young}),
+               resumed(rig, "forgotten", "keyed", {old}), resumed(rig, "unsafe", "unsafe", {young}),
+               resumed(rig, "untried", "unsafe", {}), resumed(rig, "refused", "unsafe", {none}),
+               resumed(rig, "away", "unsafe", {unlisted})});
+  EXPECT_EQ((std::set<std::string>{"safe", "keyed", "untried", "refused"}),
+            std::set<std::string>(sent.begin(), sent.end()));
+  std::set<std::string> failed;
+  for (const Fail& f : rig.got<Fail>()) failed.insert(f.id);
+  EXPECT_EQ((std::set<std::string>{"unsafe", "away"}), failed);
+  ASSERT_EQ(1u,
+            rig.got<Refuse>().size());  // repeats are dropped at all of its endpoints: harmless to hand in
+  EXPECT_EQ("forgotten", rig.got<Refuse>()[0].id);
+}
+
+TEST(Restart, PastAttemptsCountTowardsTheMost) {
+  Rig rig;
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  const std::vector<PastAttempt> past(static_cast<std::size_t>(rig.set.max_attempts - 1),
+                                      {"e", 99 * kS, true});
+  EXPECT_EQ(1u, rig.run({resumed(rig, "m", "safe", past)}).size());
+  rig.at(101 * kS);
+  EXPECT_TRUE(rig.run({rig.outcome("m", rig.set.max_attempts - 1, Result::error)}).empty());
+  EXPECT_EQ(1u, rig.got<Refuse>().size());
+}
+
+// The next process resumes a backlog: it must pace what it heard failing as the one before would have.
+TEST(Restart, AilmentsAreGivenOutAndKeptByTheNextProcess) {
+  Rig first;
+  first.at(100 * kS).list({makeEndpoint("e", 1, "shared", 10)});
+  std::vector<Ailment> kept;
+  for (int i = 0; i < 8; ++i) {
+    first.at(100 * kS + i * 2 * kS);
+    first.arrive("m" + std::to_string(i), "safe", 1);
+    for (const Send& s : first.got<Send>()) {
+      first.at(first.now + 10 * kMs).end(s.id, 0, Result::connect_failed);
+      for (const Ailment& a : first.got<Ailment>()) kept.push_back(a);
+    }
+  }
+  ASSERT_FALSE(kept.empty());
+  EXPECT_TRUE(kept.back().down);
+  EXPECT_EQ(1, kept.back().destination);
+  auto sends = [&](bool told) {
+    Rig next;
+    next.at(first.now + kS).list({makeEndpoint("e", 1, "shared", 10)});
+    std::vector<Event> events;
+    if (told) events.push_back(kept.back());
+    for (int i = 0; i < 8; ++i) events.push_back(resumed(next, "r" + std::to_string(i), "safe", {}));
+    return next.run(events).size();
+  };
+  EXPECT_EQ(1u, sends(true));
+  EXPECT_GT(sends(false), 3u);
+}
+
+TEST(Restart, BeforeTheEndOnlyWhatCanBeHeardIsStarted) {
+  Rig rig;
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  rig.arrive("warm", "safe", 1);
+  rig.at(rig.now + 100 * kMs).end("warm", 0, Result::ok);
+  rig.at(101 * kS).run({Stopping{101 * kS + 3 * kS}});
+  EXPECT_EQ(1u, rig.arrive("soon", "unsafe", 1).size());
+  EXPECT_LE(rig.now + rig.timeout["soon"], 104 * kS);
+  rig.at(104 * kS - 50 * kMs);
+  EXPECT_TRUE(rig.arrive("late", "unsafe", 1).empty());
+  EXPECT_TRUE(rig.got<Fail>().empty());
+  EXPECT_TRUE(rig.got<Refuse>().empty());  // it is left to the next process
+}
+
+TEST(Restart, MoreThanMayBeHeldIsRefusedOnArrival) {
+  Settings s = makeSettings();
+  s.max_open = 3;
+  Rig rig(s);
+  rig.at(100 * kS).list({});
+  int refused = 0;
+  for (int i = 0; i < 6; ++i) {
+    rig.arrive("m" + std::to_string(i), "safe", 1);
+    refused += static_cast<int>(rig.got<Refuse>().size());
+  }
+  EXPECT_GE(refused, 3);
+}
+
+}  // namespace
+}  // namespace grademux
