Start calls after SIGTERM as long as they will be heard; one link to the agent for watch and notices

Observed: in the source: after SIGTERM a call was started only if its whole time-out fitted before the exit. An unsafe message's time-out is 16 usual latencies, over 3 s at a usual partner, so every payment then waited for the next process, 4 s or more, past its aim. Changed: a call at a healthy endpoint is started while eight usual latencies are left, none at a sick one. Ruled out: to start all, as what is cut by the exit may have run and is lost.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -600,8 +600,10 @@
 
   bool serverOpen(Server& s, const Message& m) {
     if (!usable(s) || !maySend(m, s)) return false;
-    // Before the process ends only what can be heard is started; guards against attempts lost in the unknown.
-    if (stop_at != kNever && now + timeoutFor(m, s) > stop_at) return false;
+    // Before the process ends only what will be heard is started; guards against attempts lost in the
+    // unknown.
+    const double heard = kStallRatio * kUnsafePatience * common_slow * usualLatency(s);
+    if (stop_at != kNever && (sick(s) || static_cast<double>(stop_at - now) < heard)) return false;
     const Guard& g = scope(s);
     // A message that can't be repeated is no trial: it would be lost where calls end in the unknown. It goes
     // after all when half of its time is used up.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -72,13 +72,13 @@
   const std::int64_t left = c.sockets - kSpareSockets - c.settings.slots;
   if (left < 8) bad("limits.sockets is too small");
   Host* to_host = nullptr;
-  Notices notices(io, agent, c.discovery, [&](const std::string& id) { to_host->told(id); });
+  Notices notices(Agent(io, agent, c.discovery), [&](const std::string& id) { to_host->told(id); });
   Endpoints endpoints(io, {c.settings.dial_timeout, c.settings.conn_idle, static_cast<std::size_t>(left / 4)},
                       [&](Outcome o) { to_host->outcome(std::move(o)); });
   Host host(io, c.settings, c.seed, journal, endpoints, notices);
   to_host = &host;
   host.recover(c.known);
-  Watcher watcher(io, agent, c.discovery, [&](const json& answer) { return host.list(answer); });
+  Watcher watcher(Agent(io, agent, c.discovery), [&](const json& answer) { return host.list(answer); });
   watcher.start(host.version());
   Clients clients(io, parseAddress(c.listen), static_cast<std::size_t>(left / 2),
                   [&](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); });
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -62,12 +62,22 @@
   return {{"index", index_}, {"snapshot", true}, {"endpoints", std::move(list)}};
 }
 
-Watcher::Watcher(asio::io_context& io, tcp::endpoint agent, std::string host, OnAnswer on_answer)
-    : io_(io),
-      agent_(std::move(agent)),
-      host_(std::move(host)),
-      on_answer_(std::move(on_answer)),
-      timer_(io) {}
+Agent::Agent(asio::io_context& io, tcp::endpoint peer, std::string host)
+    : io_(io), peer_(std::move(peer)), host_(std::move(host)), timer_(io) {}
+
+void Agent::ask(HttpRequest request, Micros limit, HttpConnection::Done done) {
+  if (!connection_ || !connection_->reusable())
+    connection_ = std::make_unique<HttpConnection>(io_, peer_, host_, kListLimit);
+  connection_->exchange(std::move(request), kConnect, limit, std::move(done));
+}
+
+void Agent::later(Micros pause, std::function<void()> then) {
+  connection_.reset();
+  timer_.expires_after(std::chrono::microseconds(pause));
+  timer_.async_wait([then = std::move(then)](const boost::system::error_code& e) {
+    if (!e) then();
+  });
+}
 
 void Watcher::start(std::int64_t from) {
   from_ = from;
@@ -79,34 +89,22 @@
   r.method = "GET";
   r.target = "/v1/endpoints";
   if (from_ >= 0) r.target += "?from=" + std::to_string(from_) + "&hold_ms=" + std::to_string(kHold / 1000);
-  if (!connection_ || !connection_->reusable())
-    connection_ = std::make_unique<HttpConnection>(io_, agent_, host_, kListLimit);
   const Micros limit = (from_ >= 0 ? kHold : 0) + kSilence;
-  connection_->exchange(std::move(r), kConnect, limit, [this](const HttpAnswer& a) {
-    if (a.how != Exchanged::answered || a.status != 200 || !a.whole) return again(kPause);
+  agent_.ask(std::move(r), limit, [this](const HttpAnswer& a) {
+    if (a.how != Exchanged::answered || a.status != 200 || !a.whole)
+      return agent_.later(kPause, [this] { ask(); });
     try {
       from_ = on_answer_(json::parse(a.body));
     } catch (const std::exception& e) {
       // Guards against one garbled answer ending the watch: the whole list is asked for afresh.
       std::cerr << "discovery: " << e.what() << '\n';
       from_ = -1;
-      return again(kPause);
+      return agent_.later(kPause, [this] { ask(); });
     }
     ask();
   });
 }
 
-void Watcher::again(Micros pause) {
-  connection_.reset();
-  timer_.expires_after(std::chrono::microseconds(pause));
-  timer_.async_wait([this](const boost::system::error_code& e) {
-    if (!e) ask();
-  });
-}
-
-Notices::Notices(asio::io_context& io, tcp::endpoint agent, std::string host, OnTold on_told)
-    : io_(io), agent_(std::move(agent)), host_(std::move(host)), on_told_(std::move(on_told)), timer_(io) {}
-
 void Notices::owe(const std::string& id, const Notice& notice) {
   owed_.emplace_back(id, notice);
   if (out_ == 0 && !waiting_) send();
@@ -126,9 +124,7 @@
       line["retry_in_ms"] = owed_[i].second.retry_in_ms;
     r.body += line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
   }
-  if (!connection_ || !connection_->reusable())
-    connection_ = std::make_unique<HttpConnection>(io_, agent_, host_, 65536);
-  connection_->exchange(std::move(r), kConnect, kNoticeLimit, [this](const HttpAnswer& a) {
+  agent_.ask(std::move(r), kNoticeLimit, [this](const HttpAnswer& a) {
     const std::size_t told = out_;
     out_ = 0;
     const bool unreadable = a.how == Exchanged::answered && a.status == 400;
@@ -137,7 +133,13 @@
       return send();
     }
     if (unreadable) std::cerr << "notice that can't be read, of message " << owed_.front().first << '\n';
-    if (!unreadable && (a.how != Exchanged::answered || a.status / 100 != 2)) return again(kNoticePause);
+    if (!unreadable && (a.how != Exchanged::answered || a.status / 100 != 2)) {
+      waiting_ = true;
+      return agent_.later(kNoticePause, [this] {
+        waiting_ = false;
+        send();
+      });
+    }
     for (std::size_t i = 0; i < told; ++i) {
       on_told_(owed_.front().first);
       owed_.pop_front();
@@ -147,15 +149,4 @@
   });
 }
 
-void Notices::again(Micros pause) {
-  connection_.reset();
-  waiting_ = true;
-  timer_.expires_after(std::chrono::microseconds(pause));
-  timer_.async_wait([this](const boost::system::error_code& e) {
-    if (e) return;
-    waiting_ = false;
-    send();
-  });
-}
-
 }  // namespace grademux
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -36,22 +36,32 @@
   std::map<std::string, json> entries_;
 };
 
+// The agent on this machine: one connection, made anew when the old one is no longer good.
+class Agent {
+ public:
+  Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host);
+  void ask(HttpRequest request, Micros limit, HttpConnection::Done done);
+  void later(Micros pause, std::function<void()> then);  // drops the connection, goes on after the pause
+
+ private:
+  boost::asio::io_context& io_;
+  tcp::endpoint peer_;
+  std::string host_;
+  std::unique_ptr<HttpConnection> connection_;
+  boost::asio::steady_timer timer_;
+};
+
 class Watcher {
  public:
   using OnAnswer = std::function<std::int64_t(const json&)>;  // answers the version from which to go on
-  Watcher(boost::asio::io_context& io, tcp::endpoint agent, std::string host, OnAnswer on_answer);
+  Watcher(Agent agent, OnAnswer on_answer) : agent_(std::move(agent)), on_answer_(std::move(on_answer)) {}
   void start(std::int64_t from);
 
  private:
   void ask();
-  void again(Micros pause);
 
-  boost::asio::io_context& io_;
-  tcp::endpoint agent_;
-  std::string host_;
+  Agent agent_;
   OnAnswer on_answer_;
-  std::unique_ptr<HttpConnection> connection_;
-  boost::asio::steady_timer timer_;
   std::int64_t from_ = -1;
 };
 
@@ -59,20 +69,15 @@
 class Notices {
  public:
   using OnTold = std::function<void(const std::string& id)>;
-  Notices(boost::asio::io_context& io, tcp::endpoint agent, std::string host, OnTold on_told);
+  Notices(Agent agent, OnTold on_told) : agent_(std::move(agent)), on_told_(std::move(on_told)) {}
   void owe(const std::string& id, const Notice& notice);
   std::size_t owed() const { return owed_.size(); }
 
  private:
   void send();
-  void again(Micros pause);
 
-  boost::asio::io_context& io_;
-  tcp::endpoint agent_;
-  std::string host_;
+  Agent agent_;
   OnTold on_told_;
-  std::unique_ptr<HttpConnection> connection_;
-  boost::asio::steady_timer timer_;
   std::deque<std::pair<std::string, Notice>> owed_;
   std::size_t out_ = 0;    // the first so many are being told
   std::size_t most_ = 64;  // at once; one by one after a batch that could not be read
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -57,6 +57,7 @@
   Result result;
   bool finished;
   Micros wait;
+  friend void PrintTo(const Row& r, std::ostream* out) { *out << r.name; }
 };
 class Outcomes : public ::testing::TestWithParam<Row> {};
 
