--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -4,8 +4,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
+#include <tuple>
 #include <vector>
 
+#include "endpoints.h"
 #include "resp.h"
 
 namespace grademux {
@@ -16,7 +18,19 @@
 
 namespace {
 
+constexpr std::size_t kPiece = 16384;
+constexpr int kReceive = 32768;
 constexpr std::size_t kDiscard = 1u << 20;  // of a malformed request's rest
+// A connection is owed an error or its end within 3 s. Limits on: the first byte, a whole request from its
+// first byte on, a reply's way out, and the discard after an error.
+constexpr Micros kFirstByte = 2'000'000, kWhole = 2'000'000, kWrite = 2'000'000, kLeave = 500'000;
+constexpr Micros kSweep = 200'000;       // how often the limits are looked at
+constexpr Micros kMayClose = 2'000'000;  // without an open request for so long, a client expects the end
+constexpr Micros kKeep = 30'000'000;     // a connection that asked once and never again
+constexpr Micros kNewcomer = 100'000;    // one that wants something has said so by then
+constexpr int kMostFaults = 12;          // useless requests in a row, answered ever more slowly
+constexpr Micros kRest = 10'000, kMostRest = 320'000;
+constexpr std::size_t kLongestId = 256;
 constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
 
 bool wholeNumber(const std::string& s, std::int64_t& out) {
@@ -73,23 +87,53 @@
 }  // namespace
 
 struct Clients::Session : std::enable_shared_from_this<Session> {
-  Session(Clients& c, tcp::socket s) : clients(c), socket(std::move(s)) {}
+  enum class Phase {
+    idle,     // between requests
+    partial,  // the next one has begun
+    asked,    // handed on, not answered
+    writing,  // the answer is on its way
+    resting,  // was useless; what comes next waits
+    leaving   // told of an error; the rest of its input is thrown away
+  };
+  Session(Clients& c, tcp::socket s) : clients(c), socket(std::move(s)), rest(c.io_) {}
 
   Clients& clients;
   tcp::socket socket;
+  asio::steady_timer rest;
   std::string in, out;
-  char piece[16384];
-  bool busy = false, closing = false, open = true;
+  Phase phase = Phase::idle;
+  Micros since = monotonicNow();
+  std::size_t thrown = 0;
+  int faults = 0;  // useless requests in a row
+  bool closing = false, open = true, proven = false;
 
-  void read() {
-    socket.async_read_some(asio::buffer(piece), [self = shared_from_this()](error_code e, std::size_t n) {
-      if (!self->open) return;
-      if (e) return self->close();
-      self->in.append(self->piece, n);
-      self->next();
+  void enter(Phase p) {
+    if (p != Phase::partial || phase != p) since = monotonicNow();
+    phase = p;
+  }
+
+  void wait() {
+    socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code e) {
+      const bool reads =
+          self->phase == Phase::idle || self->phase == Phase::partial || self->phase == Phase::leaving;
+      if (!self->open || !reads || e == asio::error::operation_aborted) return;
+      e ? self->close() : self->read();
     });
   }
 
+  void read() {
+    error_code e;
+    const std::size_t n = socket.read_some(asio::buffer(clients.piece_), e);
+    if (e == asio::error::would_block || e == asio::error::try_again) return wait();
+    if (e) return close();
+    if (phase == Phase::leaving) {
+      thrown += n;
+      return thrown >= kDiscard ? close() : wait();
+    }
+    in.append(clients.piece_.data(), n);
+    next();
+  }
+
   // One request at a time; the next is read once this one is answered.
   void next() {
     std::vector<std::string> words;
@@ -97,7 +141,8 @@
     std::string error;
     switch (parseRequest(in, words, used, error)) {
       case Parsed::partial:
-        return read();
+        enter(in.empty() ? Phase::idle : Phase::partial);
+        return wait();
       case Parsed::malformed:
         closing = true;
         return answer("-ERR " + error);
@@ -105,6 +150,7 @@
         break;
     }
     in.erase(0, used);
+    if (in.empty()) in.shrink_to_fit();
     const std::string command = upper(words[0]);
     if (command == "PING") return answer(words.size() > 1 ? "-ERR wrong number of arguments" : "+PONG");
     if (command != "MSG.PUT") return answer("-ERR unknown command");
@@ -112,53 +158,105 @@
     Put put;
     if (words[1].find_first_not_of('0') != std::string::npos) put.message.order_key = words[1];
     put.message.id = words[2];
-    put.message.body = words[4];
-    if (put.message.id.empty() || !plain(put.message.id)) return answer("-ERR malformed id");
+    put.message.body = std::move(words[4]);
+    if (put.message.id.empty() || put.message.id.size() > kLongestId || !plain(put.message.id))
+      return answer("-ERR malformed id");
     if (const char* wrong = readFields(words[3], put)) return answer(std::string("-ERR ") + wrong);
-    if (!plain(put.message.idempotency_key)) return answer("-ERR malformed k");
-    busy = true;
+    if (put.message.idempotency_key.size() > kLongestId || !plain(put.message.idempotency_key))
+      return answer("-ERR malformed k");
+    enter(Phase::asked);
     ++clients.unanswered_;
     clients.on_put_(std::move(put), [self = shared_from_this()](const std::string& reply) {
-      self->busy = false;
       --self->clients.unanswered_;
       if (self->open) self->answer(reply);
     });
   }
 
+  // Guards all others against one that asks for what can't be done as fast as it is turned away: it is heard
+  // ever more slowly, and then no more.
   void answer(const std::string& reply) {
+    const bool useless = reply.rfind("-ERR", 0) == 0;
+    faults = useless ? faults + 1 : 0;
+    proven = proven || !useless;
+    closing = closing || faults >= kMostFaults;
     out = reply + "\r\n";
-    busy = true;
+    enter(Phase::writing);
     asio::async_write(socket, asio::buffer(out), [self = shared_from_this()](error_code e, std::size_t) {
       if (!self->open) return;
-      self->busy = false;
-      if (!e && self->closing) return self->hangUp();
-      if (e || (self->clients.draining_ && self->in.empty() && self->socket.available(e) == 0))
-        return self->close();
-      self->in.empty() ? self->read() : self->next();
+      if (e) return self->close();
+      self->answered();
     });
   }
 
+  void answered() {
+    if (closing) return hangUp();
+    error_code e;
+    if (clients.draining_ && in.empty() && socket.available(e) == 0) return close();
+    if (faults > 1) {
+      enter(Phase::resting);
+      rest.expires_after(std::chrono::microseconds(std::min(kMostRest, kRest << (faults - 2))));
+      rest.async_wait([self = shared_from_this()](error_code stopped) {
+        if (!stopped && self->open) self->goOn();
+      });
+      return;
+    }
+    goOn();
+  }
+
+  void goOn() {
+    enter(Phase::idle);
+    in.empty() ? wait() : next();
+  }
+
   // Sends the end and reads on for a while: a close with input unread would take the reply with it.
   void hangUp() {
     error_code ignored;
     socket.shutdown(tcp::socket::shutdown_send, ignored);
     in.clear();
-    discard(kDiscard);
+    enter(Phase::leaving);
+    wait();
   }
-  void discard(std::size_t most) {
-    busy = false;
-    socket.async_read_some(asio::buffer(piece),
-                           [self = shared_from_this(), most](error_code e, std::size_t n) {
-                             if (!self->open) return;
-                             if (e || n >= most) return self->close();
-                             self->discard(most - n);
-                           });
+
+  // Guards against connections that hold their place for nothing: silent, half-sent, never read or left open.
+  void checkLimit(Micros now) {
+    const Micros spent = now - since;
+    switch (phase) {
+      case Phase::idle:
+        if (spent >= (proven || faults > 0 ? kKeep : kFirstByte)) close();
+        break;
+      case Phase::partial:
+        if (spent < kWhole) break;
+        socket.cancel();
+        closing = true;
+        answer("-ERR the request did not come to its end");
+        break;
+      case Phase::writing:
+        if (spent >= kWrite) close();
+        break;
+      case Phase::leaving:
+        if (spent >= kLeave) close();
+        break;
+      case Phase::asked:
+      case Phase::resting:
+        break;
+    }
+  }
+
+  // How gladly it makes room for another, the lowest first; none with a request open.
+  std::pair<int, Micros> rank(Micros now) const {
+    const Micros spent = now - since;
+    if (phase == Phase::asked || phase == Phase::writing) return {9, since};
+    if (phase == Phase::leaving || phase == Phase::resting) return {spent >= kNewcomer ? 0 : 3, since};
+    if (!proven) return {spent >= kNewcomer ? 1 : 4, since};
+    if (phase == Phase::partial) return {8, since};
+    return {spent >= kMayClose ? 2 : 5, since};
   }
 
   void close() {
     if (!open) return;
     open = false;
     error_code ignored;
+    rest.cancel();
     socket.shutdown(tcp::socket::shutdown_both, ignored);
     socket.close(ignored);
     clients.ended(shared_from_this());
@@ -166,12 +264,21 @@
 };
 
 Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, OnPut on_put)
-    : io_(io), acceptor_(io), pause_(io), most_(most), on_put_(std::move(on_put)) {
+    : io_(io),
+      acceptor_(io),
+      pause_(io),
+      sweeper_(io),
+      most_(most),
+      on_put_(std::move(on_put)),
+      piece_(kPiece) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  // What the kernel buffers counts as this sender's memory: a client that sends 60 MB must not fill it.
+  acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceive));
   acceptor_.bind(listen);
   acceptor_.listen();
   accept();
+  sweep();
 }
 
 Clients::~Clients() {
@@ -185,41 +292,70 @@
 
 unsigned short Clients::port() const { return acceptor_.local_endpoint().port(); }
 
-// No more connections than there is room for: the others wait in the backlog. Guards against running out of
-// descriptors, which the calls to endpoints need too.
+// At the limit the one that is least in use makes room. Guards against idle, silent and useless connections
+// that leave good clients waiting in the backlog, and against running out of descriptors, which the calls to
+// endpoints need too.
+bool Clients::makeRoom() {
+  if (sessions_.size() < most_) return true;
+  const Micros now = monotonicNow();
+  std::shared_ptr<Session> least;
+  for (const auto& s : sessions_)
+    if (!least || s->rank(now) < least->rank(now)) least = s;
+  if (!least || least->rank(now).first >= 8) return false;
+  least->close();
+  return true;
+}
+
 void Clients::accept() {
-  if (accepting_ || sessions_.size() >= most_) return;
+  if (accepting_) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
     accepting_ = false;
     if (e == asio::error::operation_aborted) return;
-    if (e) {  // out of descriptors, say: try again soon rather than spin
-      pause_.expires_after(std::chrono::milliseconds(20));
-      pause_.async_wait([this](error_code stopped) {
-        if (!stopped) accept();
-      });
-      return;
-    }
+    if (e) return retryAccept();  // out of descriptors, say: try again soon rather than spin
     error_code ignored;
     s.set_option(tcp::no_delay(true), ignored);
-    auto session = std::make_shared<Session>(*this, std::move(s));
-    sessions_.insert(session);
-    session->read();
-    accept();
+    s.non_blocking(true, ignored);
+    newcomer_ = std::make_shared<Session>(*this, std::move(s));
+    admit();
   });
 }
 
-void Clients::ended(const std::shared_ptr<Session>& s) {
-  sessions_.erase(s);
+void Clients::admit() {
+  if (!makeRoom()) return retryAccept();  // each has a request open, which is a matter of milliseconds
+  const auto session = std::move(newcomer_);
+  newcomer_ = nullptr;
+  sessions_.insert(session);
+  session->read();  // its request has mostly come by now
   accept();
 }
 
+void Clients::retryAccept() {
+  pause_.expires_after(std::chrono::milliseconds(20));
+  pause_.async_wait([this](error_code stopped) {
+    if (!stopped) newcomer_ ? admit() : accept();
+  });
+}
+
+void Clients::sweep() {
+  const Micros now = monotonicNow();
+  const auto all = sessions_;
+  for (const auto& s : all)
+    if (s->open) s->checkLimit(now);
+  sweeper_.expires_after(std::chrono::microseconds(kSweep));
+  sweeper_.async_wait([this](error_code stopped) {
+    if (!stopped) sweep();
+  });
+}
+
+void Clients::ended(const std::shared_ptr<Session>& s) { sessions_.erase(s); }
+
 void Clients::drain() {
   draining_ = true;
   const auto all = sessions_;
   for (const auto& s : all) {
     error_code e;
-    if (!s->busy && s->in.empty() && s->socket.available(e) == 0) s->close();
+    if (s->phase == Session::Phase::idle && s->socket.available(e) == 0) s->close();
   }
 }
 
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -1,5 +1,5 @@
 // grademux: the RESP2 server that clients hand messages to: PING and MSG.PUT, each request answered in
-// turn.
+// turn. Every step of a connection has a time limit; a full table makes room for newcomers.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "journal.h"
 
@@ -38,14 +39,20 @@
  private:
   struct Session;
   void accept();
+  bool makeRoom();
+  void admit();
+  void retryAccept();
+  void sweep();
   void ended(const std::shared_ptr<Session>& s);
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_;
+  boost::asio::steady_timer pause_, sweeper_;
   std::size_t most_;
   OnPut on_put_;
   std::set<std::shared_ptr<Session>> sessions_;
+  std::shared_ptr<Session> newcomer_;  // accepted, waits for room
+  std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
   std::size_t unanswered_ = 0;
   bool accepting_ = false, draining_ = false;
 };
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-constexpr Micros kHold = 20'000'000;      // how long a watch call may wait for news
-constexpr Micros kSilence = 1'500'000;    // an answer that is later than its wait by this won't come
+// How long a watch call may wait for news. An agent that was silent is asked again when that is over: in less
+// than the 6 s after which its news count as told.
+constexpr Micros kHold = 3'000'000;
+constexpr Micros kSilence = 1'000'000;    // an answer that is later than its wait by this won't come
 constexpr Micros kConnect = 1'000'000;    // the agent is on this machine
 constexpr Micros kPause = 100'000;        // after a call that failed
 constexpr Micros kNoticeLimit = 500'000;  // for an answer that comes at once
@@ -25,6 +27,19 @@
                               "status");
 }
 
+ListedEndpoint entryOf(const json& e) {
+  if (!e.is_object()) bad("an endpoint is not an object");
+  ListedEndpoint l;
+  l.endpoint.id = text(e, "name");
+  l.endpoint.zone = text(e, "zone", "");
+  l.endpoint.kind = text(e, "type", "");
+  l.endpoint.destination = integer(e, "group");
+  l.endpoint.weight = number(e, "weight", 0);
+  l.endpoint.state = stateOf(e);
+  l.address = text(e, "address", "");
+  return l;
+}
+
 }  // namespace
 
 EndpointList::News EndpointList::read(const json& answer) {
@@ -35,19 +50,17 @@
   news.kind = whole ? ListKind::full : ListKind::delta;
   std::map<std::string, json> changed;
   for (const json& e : array(answer, "endpoints")) {
-    if (!e.is_object()) bad("an endpoint is not an object");
-    ListedEndpoint l;
-    l.endpoint.id = text(e, "name");
-    l.endpoint.zone = text(e, "zone", "");
-    l.endpoint.kind = text(e, "type", "");
-    l.endpoint.destination = integer(e, "group");
-    l.endpoint.weight = number(e, "weight", 0);
-    l.endpoint.state = stateOf(e);
-    l.address = text(e, "address", "");
-    changed[l.endpoint.id] = e;
-    news.entries.push_back(std::move(l));
+    news.entries.push_back(entryOf(e));
+    changed[news.entries.back().endpoint.id] = e;
+  }
+  if (whole) {
+    for (const auto& [name, e] : entries_) {
+      if (changed.count(name)) continue;
+      news.entries.push_back(entryOf(e));
+      news.entries.back().endpoint.state = EndpointState::gone;
+    }
+    entries_.clear();
   }
-  if (whole) entries_.clear();
   for (auto& [name, e] : changed) {
     if (e["status"] == "Gone") entries_.erase(name);
     else entries_[name] = std::move(e);
@@ -56,6 +69,12 @@
   return news;
 }
 
+std::set<std::int64_t> EndpointList::destinations() const {
+  std::set<std::int64_t> all;
+  for (const auto& [name, e] : entries_) all.insert(integer(e, "group"));
+  return all;
+}
+
 json EndpointList::all() const {
   json list = json::array();
   for (const auto& [name, e] : entries_) list.push_back(e);
@@ -74,16 +93,29 @@
 void Agent::later(Micros pause, std::function<void()> then) {
   connection_.reset();
   timer_.expires_after(std::chrono::microseconds(pause));
-  timer_.async_wait([then = std::move(then)](const boost::system::error_code& e) {
-    if (!e) then();
+  timer_.async_wait([this, mine = ++turn_, then = std::move(then)](const boost::system::error_code& e) {
+    if (!e && mine == turn_) then();
   });
 }
 
+void Agent::moveTo(tcp::endpoint peer, std::string host) {
+  ++turn_;
+  timer_.cancel();
+  connection_.reset();
+  peer_ = std::move(peer);
+  host_ = std::move(host);
+}
+
 void Watcher::start(std::int64_t from) {
   from_ = from;
   ask();
 }
 
+void Watcher::moveTo(tcp::endpoint peer, std::string host) {
+  agent_.moveTo(std::move(peer), std::move(host));
+  start(-1);
+}
+
 void Watcher::ask() {
   HttpRequest r;
   r.method = "GET";
@@ -110,6 +142,13 @@
   if (out_ == 0 && !waiting_) send();
 }
 
+void Notices::moveTo(tcp::endpoint peer, std::string host) {
+  agent_.moveTo(std::move(peer), std::move(host));
+  out_ = 0;
+  waiting_ = false;
+  send();
+}
+
 void Notices::send() {
   if (owed_.empty()) return;
   out_ = std::min(owed_.size(), most_);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "../json_fields.h"
 #include "http.h"
@@ -26,8 +27,11 @@
     ListKind kind = ListKind::delta;
     std::vector<ListedEndpoint> entries;
   };
-  News read(const json& answer);  // throws BadInput when it can't be read; then nothing has changed
+  // Throws BadInput when it can't be read; then nothing has changed. What a whole list no longer names is
+  // among the entries as gone.
+  News read(const json& answer);
   json all() const;
+  std::set<std::int64_t> destinations() const;
   std::int64_t index() const { return index_; }
   bool empty() const { return entries_.empty(); }
 
@@ -42,9 +46,11 @@
   Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host);
   void ask(HttpRequest request, Micros limit, HttpConnection::Done done);
   void later(Micros pause, std::function<void()> then);  // drops the connection, goes on after the pause
+  void moveTo(tcp::endpoint peer, std::string host);     // calls off what is under way
 
  private:
   boost::asio::io_context& io_;
+  std::uint64_t turn_ = 0;  // what belongs to an earlier one is ignored
   tcp::endpoint peer_;
   std::string host_;
   std::unique_ptr<HttpConnection> connection_;
@@ -56,6 +62,7 @@
   using OnAnswer = std::function<std::int64_t(const json&)>;  // answers the version from which to go on
   Watcher(Agent agent, OnAnswer on_answer) : agent_(std::move(agent)), on_answer_(std::move(on_answer)) {}
   void start(std::int64_t from);
+  void moveTo(tcp::endpoint peer, std::string host);  // asks there at once, for the whole list
 
  private:
   void ask();
@@ -71,6 +78,7 @@
   using OnTold = std::function<void(const std::string& id)>;
   Notices(Agent agent, OnTold on_told) : agent_(std::move(agent)), on_told_(std::move(on_told)) {}
   void owe(const std::string& id, const Notice& notice);
+  void moveTo(tcp::endpoint peer, std::string host);  // all that is owed is told there
   std::size_t owed() const { return owed_.size(); }
 
  private:
--- a/src/net/endpoints.cpp
+++ b/src/net/endpoints.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::size_t kBodyLimit = 65536;
 constexpr Micros kLongestWait = 24LL * 3600 * 1000000;
+constexpr double kMostLimit = 1e7;  // calls a second; more is no sane report
 
 // The Result of each answer, by the protocol's table. What is not in it was at least answered: an error.
 Result resultOf(const HttpAnswer& a) {
@@ -36,29 +37,43 @@
   }
 }
 
+// A plain decimal number and nothing else: no sign, exponent, "inf" or rest. Guards against a field that
+// can't be read and is taken for a number by its beginning.
 std::optional<double> numberIn(const std::string& s) {
-  char* end = nullptr;
-  const double v = std::strtod(s.c_str(), &end);
-  if (end == s.c_str() || !std::isfinite(v)) return std::nullopt;
-  return v;
+  const auto dot = s.find('.');
+  const bool digits = s.find_first_not_of("0123456789.") == std::string::npos && dot == s.rfind('.') &&
+                      s.size() <= 32 && s.find_first_of("0123456789") != std::string::npos;
+  if (!digits) return std::nullopt;
+  return std::strtod(s.c_str(), nullptr);
 }
 
 Micros waitOf(const HttpAnswer& a) {
   const std::string* told = a.field("retry-after");
   const auto seconds = told ? numberIn(*told) : std::nullopt;
-  if (!seconds || *seconds <= 0) return 0;
+  if (!seconds) return 0;
   return static_cast<Micros>(std::ceil(std::min(*seconds * 1e6, static_cast<double>(kLongestWait))));
 }
 
+// "x0=0.4,x1=25"; one that can't be read throughout is no report: zeros would say that there is no limit.
 std::optional<LimitReport> reportOf(const HttpAnswer& a) {
   const std::string* told = a.field("x-pressure");
   if (!told) return std::nullopt;
-  auto value = [&](const std::string& name) -> double {
-    const auto at = ("," + *told).find("," + name + "=");
-    if (at == std::string::npos) return 0;
-    return numberIn(told->substr(at + name.size() + 1)).value_or(0);
-  };
-  return LimitReport{value("x0"), value("x1")};
+  std::optional<double> left, limit;
+  for (std::size_t at = 0; at <= told->size();) {
+    const std::size_t end = std::min(told->find(',', at), told->size());
+    const std::string item = told->substr(at, end - at);
+    at = end + 1;
+    const auto equals = item.find('=');
+    if (equals == std::string::npos) return std::nullopt;
+    std::string value = item.substr(equals + 1);
+    const bool negative = value.size() > 1 && value[0] == '-';  // noise around nothing left
+    const auto v = numberIn(negative ? value.substr(1) : value);
+    if (!v) return std::nullopt;
+    if (item.compare(0, equals, "x0") == 0) left = negative ? 0 : *v;
+    if (item.compare(0, equals, "x1") == 0) limit = negative ? 0 : *v;
+  }
+  if (!left || !limit || *limit > kMostLimit) return std::nullopt;
+  return LimitReport{*left, *limit};
 }
 
 }  // namespace
@@ -82,15 +97,22 @@
   closeIdle(endpoint);
 }
 
+void Endpoints::forget(const std::string& endpoint) {
+  closeIdle(endpoint);
+  addresses_.erase(endpoint);
+}
+
 void Endpoints::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) {
   const CallId id{m.id, attempt};
   const Micros began = monotonicNow();
   Call call;
   call.endpoint = endpoint;
-  call.address = addresses_[endpoint];
+  const auto listed = addresses_.find(endpoint);
+  if (listed != addresses_.end()) call.address = listed->second;
   call.began = began;
-  auto& idle = idle_[endpoint];
-  while (!idle.empty() && !call.connection) {  // the freshest first
+  const auto pool = idle_.find(endpoint);
+  while (pool != idle_.end() && !pool->second.empty() && !call.connection) {  // the freshest first
+    auto& idle = pool->second;
     if (idle.back().connection->reusable()) call.connection = std::move(idle.back().connection);
     idle.pop_back();
     --idle_count_;
@@ -160,7 +182,8 @@
 }
 
 void Endpoints::keep(Call& call) {
-  if (!call.connection->reusable() || call.address != addresses_[call.endpoint]) return;
+  const auto listed = addresses_.find(call.endpoint);
+  if (listed == addresses_.end() || call.address != listed->second || !call.connection->reusable()) return;
   if (idle_count_ >= limits_.max_idle) return;
   idle_[call.endpoint].push_back({std::move(call.connection), monotonicNow()});
   ++idle_count_;
--- a/src/net/endpoints.h
+++ b/src/net/endpoints.h
@@ -23,6 +23,7 @@
   Endpoints(boost::asio::io_context& io, Limits limits, OnOutcome on_outcome);
 
   void address(const std::string& endpoint, const std::string& address);  // as listed, new or changed
+  void forget(const std::string& endpoint);  // listed no more; calls that are out run on
   void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout);
   void cancel(const std::string& id, int attempt);
   void closeIdle(const std::string& endpoint);
--- a/src/net/host.cpp
+++ b/src/net/host.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+constexpr Micros kListed = INT64_MAX;
+constexpr Micros kWakeGrain = 1000;  // wakes this close are one
+
 std::string busy(Micros pause) {
   return pause > 0 ? "-BUSY " + std::to_string((pause + 999) / 1000) : std::string("-BUSY");
 }
@@ -26,7 +29,9 @@
       endpoints_(endpoints),
       notices_(notices),
       turn_timer_(io),
-      wake_timer_(io) {}
+      wake_timer_(io) {
+  for (const MessageClass& c : settings_.classes) longest_ = std::max(longest_, c.deadline);
+}
 
 void Host::recover(const json& known) {
   const Journal::Recovered& r = journal_.recovered();
@@ -85,22 +90,30 @@
   u.kind = news.kind;
   for (const ListedEndpoint& l : news.entries) {
     u.endpoints.push_back(l.endpoint);
-    destinations_.insert(l.endpoint.destination);
     if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address);
-    if (l.endpoint.state == EndpointState::gone) endpoints_.closeIdle(l.endpoint.id);
+    if (l.endpoint.state == EndpointState::gone) endpoints_.forget(l.endpoint.id);
+  }
+  const Micros now = monotonicNow();
+  const std::set<std::int64_t> listed = list_.destinations();
+  for (const std::int64_t d : listed) destinations_[d] = kListed;
+  for (auto it = destinations_.begin(); it != destinations_.end();) {
+    if (it->second == kListed && !listed.count(it->first)) it->second = now;
+    it = it->second != kListed && now - it->second > longest_ ? destinations_.erase(it) : std::next(it);
   }
   add(std::move(u));
 }
 
 void Host::put(Clients::Put put, Clients::Reply reply) {
   const TakenOn& m = put.message;
-  if (std::none_of(settings_.classes.begin(), settings_.classes.end(),
-                   [&](const MessageClass& c) { return c.name == m.message_class; }))
-    return reply("-ERR unknown class");
+  const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(),
+                                [&](const MessageClass& c) { return c.name == m.message_class; });
+  if (cls == settings_.classes.end()) return reply("-ERR unknown class");
+  if (cls->effect == Effect::keyed && m.idempotency_key.empty()) return reply("-ERR no k");
   if (destinations_.empty()) return reply(busy(settings_.max_pause));
   if (!destinations_.count(m.destination)) return reply("-ERR unknown destination");
   auto known = held_.find(m.id);
   if (known != held_.end()) return reply(known->second.reply ? "-ERR handed in twice" : "+OK");
+  if (past_.count(m.id)) return reply("+OK");  // it was taken on, and has its end
   if (!journal_.reserve(m)) return reply(busy(settings_.max_pause));
   Arrival a;
   a.id = m.id;
@@ -122,7 +135,7 @@
   if (it != held_.end()) {
     if (o.finished) {
       journal_.over(o.id);
-      held_.erase(it);
+      over(o.id);
     } else if (o.result == Result::full || o.result == Result::connect_failed ||
                o.result == Result::not_sent) {
       journal_.neverRan(o.id, static_cast<std::size_t>(o.attempt));
@@ -217,7 +230,7 @@
     } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
       endpoints_.closeIdle(i->endpoint);
     } else if (const auto* w = std::get_if<WakeIn>(&a)) {
-      wakes_.insert(last_turn_ + w->span);
+      wakes_.insert((last_turn_ + w->span + kWakeGrain - 1) / kWakeGrain * kWakeGrain);
     }
   }
   wake();
@@ -235,10 +248,21 @@
   }
   const Notice n{handed_back, (pause + 999) / 1000};
   journal_.noticeOwed(id, n);
-  held_.erase(it);
+  over(id);
   notices_.owe(id, n);
 }
 
+// Guards against a second effect when the id of a message that was taken on comes again after its end.
+void Host::over(const std::string& id) {
+  held_.erase(id);
+  const Micros now = monotonicNow();
+  while (!past_order_.empty() && past_order_.front().first <= now) {
+    past_.erase(past_order_.front().second);
+    past_order_.pop_front();
+  }
+  if (past_.insert(id).second) past_order_.emplace_back(now + longest_, id);
+}
+
 void Host::wake() {
   if (wakes_.empty()) return;
   wake_timer_.expires_after(std::chrono::microseconds(std::max<Micros>(0, *wakes_.begin() - monotonicNow())));
--- a/src/net/host.h
+++ b/src/net/host.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -43,6 +44,7 @@
   void end(const std::string& id, bool handed_back, Micros pause);
   void wake();
   void takeList(const EndpointList::News& news);
+  void over(const std::string& id);
 
   boost::asio::io_context& io_;
   Settings settings_;
@@ -53,9 +55,15 @@
   EndpointList list_;
   std::map<std::string, Held> held_;
   std::set<std::string> fresh_;  // arrived since the last turn
-  std::set<std::int64_t> destinations_;
+  // Each destination, and since when it is listed no more (kListed: it is). It is known as long as a message
+  // that was meant for it may last.
+  std::map<std::int64_t, Micros> destinations_;
+  Micros longest_ = 0;  // that a message may last
+  // Ids of messages that are over, as long as one of them may come again, the oldest first.
+  std::set<std::string> past_;
+  std::deque<std::pair<Micros, std::string>> past_order_;
   std::vector<Event> events_;
-  std::multiset<Micros> wakes_;
+  std::set<Micros> wakes_;
   boost::asio::steady_timer turn_timer_, wake_timer_;
   Micros last_turn_ = INT64_MIN / 4;
   bool turn_due_ = false;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -2,7 +2,6 @@
 #include "http.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <optional>
@@ -15,13 +14,74 @@
 using boost::system::error_code;
 
 namespace {
-constexpr std::size_t kHeaderLimit = 16384;
+constexpr std::size_t kHeaderLimit = 16384, kPiece = 16384;
+constexpr std::size_t kFirstLine = 64;  // of an answer are kept to look for its status
+constexpr int kReceive = 32768;
+constexpr int kMostInterim = 16;          // 1xx ahead of the answer
+constexpr Micros kAnswerLimit = 400'000;  // from an answer's first byte to its last
 
 std::string lower(std::string s) {
   for (char& c : s)
     if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
   return s;
 }
+
+// Reads one answer from the bytes as they come, and decides once how far it can be trusted: it is whole and
+// sound, or its first line says 200, or it says nothing and the request may have run. Guards against a spoilt
+// 429, 503 or 410 that is believed: a second payment or a lost message.
+class AnswerReader {
+ public:
+  enum class State { partial, whole, spoilt };
+  explicit AnswerReader(std::size_t body_limit) : body_limit_(body_limit) { begin(); }
+
+  // What is left of `in` was not part of the answer, once that is whole.
+  State take(std::string& in) {
+    while (!in.empty()) {
+      if (first_.size() < kFirstLine) first_.append(in, 0, kFirstLine - first_.size());
+      error_code e;
+      const std::size_t used = parser_->put(asio::buffer(in), e);
+      in.erase(0, used);
+      if (e == http::error::need_more) return in.size() > kHeaderLimit ? State::spoilt : State::partial;
+      if (e) return State::spoilt;
+      if (parser_->is_done()) {
+        if (parser_->get().result_int() / 100 != 1) return State::whole;
+        if (++interim_ > kMostInterim) return State::spoilt;
+        begin();
+      } else if (used == 0) {
+        return State::partial;
+      }
+    }
+    return State::partial;
+  }
+  State end() {  // the other side has ended the connection
+    error_code e;
+    if (!parser_->got_some() || !parser_->is_header_done()) return State::spoilt;
+    parser_->put_eof(e);
+    return !e && parser_->is_done() && parser_->get().result_int() / 100 != 1 ? State::whole : State::spoilt;
+  }
+  bool says200() const {
+    return first_.size() > 12 && first_.compare(0, 7, "HTTP/1.") == 0 && first_[7] >= '0' &&
+           first_[7] <= '9' && first_.compare(8, 4, " 200") == 0 &&
+           (first_[12] == ' ' || first_[12] == '\r' || first_[12] == '\n');
+  }
+  const http::response<http::string_body>& get() const { return parser_->get(); }
+  bool keepAlive() const { return parser_->keep_alive(); }
+
+ private:
+  void begin() {
+    first_.clear();
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->body_limit(body_limit_);
+    parser_->header_limit(kHeaderLimit);
+  }
+
+  std::size_t body_limit_;
+  int interim_ = 0;
+  std::string first_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
 }  // namespace
 
 const std::string* HttpAnswer::field(const std::string& name) const {
@@ -39,12 +99,12 @@
   tcp::endpoint peer;
   std::string host;
   std::size_t body_limit;
-  boost::beast::flat_buffer in;
+  std::string in;
   http::request<http::string_body> request;
-  std::optional<http::response_parser<http::string_body>> parser;
+  std::optional<AnswerReader> reader;
   Done done;
   std::uint64_t turn = 0;  // exchanges begun or over: what belongs to an earlier one is ignored
-  bool open = false, written = false, header = false, keep = false;
+  bool open = false, written = false, begun = false, keep = false;  // begun: the first byte of an answer came
   std::chrono::steady_clock::time_point ends;
 
   void begin(HttpRequest r, Micros connect_limit, Micros limit, Done d) {
@@ -56,11 +116,9 @@
     for (auto& [name, value] : r.fields) request.set(name, value);
     request.body() = std::move(r.body);
     request.prepare_payload();
-    parser.emplace();
-    parser->body_limit(body_limit);
-    parser->header_limit(kHeaderLimit);
+    reader.emplace(body_limit);
     done = std::move(d);
-    written = header = keep = false;
+    written = begun = keep = false;
     const std::uint64_t mine = ++turn;
     ends = std::chrono::steady_clock::now() + std::chrono::microseconds(limit);
     if (open) {
@@ -71,12 +129,16 @@
       return;
     }
     setTimer(mine, std::min(connect_limit, limit));
+    error_code unset;  // what the kernel buffers counts as this sender's memory
+    socket.open(peer.protocol(), unset);
+    if (!unset) socket.set_option(asio::socket_base::receive_buffer_size(kReceive), unset);
     socket.async_connect(peer, [self = shared_from_this(), mine](error_code e) {
       if (mine != self->turn) return;
       if (e) return self->finish(Exchanged::not_written);
       self->open = true;
       error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
+      self->socket.non_blocking(true, ignored);
       const auto left = self->ends - std::chrono::steady_clock::now();
       self->setTimer(mine, std::chrono::duration_cast<std::chrono::microseconds>(left).count());
       self->write(mine);
@@ -87,9 +149,8 @@
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
     timer.async_wait([self = shared_from_this(), mine](error_code e) {
       if (e || mine != self->turn) return;
-      self->finish(self->header    ? Exchanged::answered
-                   : self->written ? Exchanged::timed_out
-                                   : Exchanged::not_written);
+      if (self->begun) return self->end(AnswerReader::State::spoilt);
+      self->finish(self->written ? Exchanged::timed_out : Exchanged::not_written);
     });
   }
 
@@ -98,23 +159,36 @@
       if (mine != self->turn) return;
       if (e) return self->finish(Exchanged::not_written);
       self->written = true;
-      self->readHeader(mine);
+      self->request = {};
+      self->read(mine);
+    });
+  }
+
+  void read(std::uint64_t mine) {
+    socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), mine](error_code e) {
+      if (mine != self->turn) return;
+      static char piece[kPiece];  // one loop, one thread: a connection that waits holds no buffer
+      const std::size_t n = e ? 0 : self->socket.read_some(asio::buffer(piece), e);
+      if (e == asio::error::would_block || e == asio::error::try_again) return self->read(mine);
+      if (e) return self->end(e == asio::error::eof ? self->reader->end() : AnswerReader::State::spoilt);
+      if (!self->begun) {
+        self->begun = true;
+        const auto left = self->ends - std::chrono::steady_clock::now();
+        self->setTimer(mine,
+                       std::min<Micros>(kAnswerLimit,
+                                        std::chrono::duration_cast<std::chrono::microseconds>(left).count()));
+      }
+      self->in.append(piece, n);
+      const AnswerReader::State state = self->reader->take(self->in);
+      if (state == AnswerReader::State::partial) return self->read(mine);
+      self->keep = state == AnswerReader::State::whole && self->reader->keepAlive() && self->in.empty();
+      self->end(state);
     });
   }
 
-  void readHeader(std::uint64_t mine) {
-    http::async_read_header(
-        socket, in, *parser, [self = shared_from_this(), mine](error_code e, std::size_t) {
-          if (mine != self->turn) return;
-          if (e) return self->finish(Exchanged::broken);
-          // From here on the status is known, whatever becomes of the body.
-          self->header = true;
-          http::async_read(self->socket, self->in, *self->parser, [self, mine](error_code e2, std::size_t) {
-            if (mine != self->turn) return;
-            self->keep = !e2 && self->parser->get().keep_alive() && self->in.size() == 0;
-            self->finish(Exchanged::answered, !e2);
-          });
-        });
+  void end(AnswerReader::State state) {
+    const bool whole = state == AnswerReader::State::whole;
+    finish(whole || reader->says200() ? Exchanged::answered : Exchanged::broken, whole);
   }
 
   void finish(Exchanged how, bool whole = false) {
@@ -122,14 +196,17 @@
     timer.cancel();
     HttpAnswer a;
     a.how = how;
+    a.whole = whole;
     if (how == Exchanged::answered) {
-      const auto& m = parser->get();
-      a.status = m.result_int();
-      a.whole = whole;
-      a.body = m.body();
-      for (const auto& f : m)
-        a.fields.emplace_back(lower(std::string(f.name_string())), std::string(f.value()));
+      a.status = whole ? static_cast<int>(reader->get().result_int()) : 200;
+      if (whole) {
+        a.body = reader->get().body();
+        for (const auto& f : reader->get())
+          a.fields.emplace_back(lower(std::string(f.name_string())), std::string(f.value()));
+      }
     }
+    reader.reset();
+    in.clear();
     if (!keep) close();
     Done d = std::move(done);
     done = nullptr;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -23,16 +23,16 @@
 };
 
 enum class Exchanged {
-  answered,     // a status came
+  answered,     // an answer came that can be trusted: see `whole`
   not_written,  // no connection, or it broke before the last byte was written
-  broken,       // the connection broke or what came was no HTTP, after the last byte
+  broken,       // after the last byte the connection broke, or the answer is spoilt: it says nothing
   timed_out     // nothing came in time
 };
 
 struct HttpAnswer {
   Exchanged how = Exchanged::not_written;
   int status = 0;
-  bool whole = false;  // the body came too
+  bool whole = false;  // sound from end to end; else only its first line came, and that says 200
   std::string body;
   std::vector<std::pair<std::string, std::string>> fields;
   const std::string* field(const std::string& name) const;  // in lower case
--- a/tests/net/loopback.h
+++ b/tests/net/loopback.h
@@ -205,9 +205,10 @@
     changed_.notify_all();
   }
   std::string address() const { return server_.address(); }
-  void tell(json endpoints) {
+  void tell(json endpoints, bool snapshot = false) {
     std::lock_guard<std::mutex> l(mutex_);
     ++index_;
+    snapshot_ = snapshot;
     news_ = std::move(endpoints);
     changed_.notify_all();
   }
@@ -255,7 +256,7 @@
     changed_.notify_all();
     changed_.wait_for(l, kLong, [&] { return stop_ || index_ > from; });
     if (stop_) return {"", true, false, false};
-    const json body{{"index", index_}, {"snapshot", false}, {"endpoints", news_}};
+    const json body{{"index", index_}, {"snapshot", snapshot_}, {"endpoints", news_}};
     return {answer("200 OK", "", body.dump()), false, false, false};
   }
 
@@ -264,6 +265,7 @@
   std::map<std::string, json> notices_;
   json news_ = json::array();
   long index_ = 1, asked_ = -1;
+  bool snapshot_ = false;
   std::atomic<bool> stop_{false};
   Server server_;
 };
@@ -370,11 +372,11 @@
 class Program {
  public:
   Program(const std::string& state, const std::string& discovery, json endpoints, double disk_mb = 3,
-          json settings = plainSettings())
+          json settings = plainSettings(), int sockets = 1024)
       : state_(state), discovery_(discovery) {
     config_ = {{"name", "n0"},
                {"seed", "8c1f30d27a5be964"},
-               {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", disk_mb}}},
+               {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", sockets}, {"disk_mb", disk_mb}}},
                {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(endpoints)}}},
                {"settings", std::move(settings)}};
     start();
@@ -388,9 +390,12 @@
     port_ = Listener().port;  // free a moment ago; the program listens with SO_REUSEADDR
     config_["listen"] = "127.0.0.1:" + std::to_string(port_);
     config_["discovery"] = discovery_;
-    const std::string path = state_ + "-config.json";
-    std::ofstream(path) << config_.dump();
-    pid_ = spawn(path, state_);
+    writeConfig(configText());
+    restart();
+  }
+  // With the file as it is.
+  void restart(const std::map<std::string, std::string>& variables = {}) {
+    pid_ = spawn(path(), state_, variables);
     const auto until = std::chrono::steady_clock::now() + kLong;
     while (std::chrono::steady_clock::now() < until) {
       Client c(port_);
@@ -399,13 +404,21 @@
     }
     ADD_FAILURE() << "the program does not answer PING";
   }
-  static pid_t spawn(const std::string& config, const std::string& state) {
+  std::string configText() const { return config_.dump(); }
+  void writeConfig(const std::string& text) { std::ofstream(path()) << text; }
+  void configure(const std::string& name, const json& value) {
+    config_[name] = value;
+    writeConfig(configText());
+  }
+  static pid_t spawn(const std::string& config, const std::string& state,
+                     const std::map<std::string, std::string>& variables = {}) {
     const pid_t pid = ::fork();
     if (pid == 0) {
       ::setenv("GW_CONFIG", config.c_str(), 1);
       ::setenv("GW_STATE", state.c_str(), 1);
       ::unsetenv("GW_LISTEN");
       ::unsetenv("GW_DISCOVERY");
+      for (const auto& [name, value] : variables) ::setenv(name.c_str(), value.c_str(), 1);
       ::execl(GRADEMUX_SENDER, GRADEMUX_SENDER, static_cast<char*>(nullptr));
       ::_exit(127);
     }
@@ -425,6 +438,8 @@
   int port() const { return port_; }
 
  private:
+  std::string path() const { return state_ + "-config.json"; }
+
   std::string state_, discovery_;
   json config_;
   int port_ = 0;
--- a/tests/net_endpoints_test.cpp
+++ b/tests/net_endpoints_test.cpp
@@ -87,6 +87,50 @@
         Row{"over", {answer("410 Gone")}, Result::not_sent, true, 0},
         Row{"unknown_status", {answer("418 Tea")}, Result::error, false, 0},
         Row{"garbled", {"no http at all\r\n\r\n", true}, Result::reset, false, 0},
+        // Spoilt answers: the request has run, whatever is told, unless the first line says 200.
+        Row{"interim_first",
+            {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nX-A: b\r\n\r\n" +
+             answer("429 Slow", "Retry-After: 0.25\r\n")},
+            Result::full,
+            false,
+            250'000},
+        Row{"head_unreadable_200", {"HTTP/1.1 200 OK\r\n\x01\x02 no field\r\n\r\n"}, Result::ok, true, 0},
+        Row{"head_unreadable_429",
+            {"HTTP/1.1 429 Slow\r\nRetry-After: 5\r\n\x01\x02 no field\r\n\r\n"},
+            Result::reset,
+            false,
+            0},
+        Row{"head_without_end_200", {"HTTP/1.1 200 OK\r\nX-A: b\r\n"}, Result::ok, true, 0},
+        Row{"head_without_end_503", {"HTTP/1.1 503 Full\r\nX-A: b\r\n"}, Result::reset, false, 0},
+        Row{"head_too_long",
+            {"HTTP/1.1 503 Full\r\nX-A: " + std::string(100'000, 'a')},
+            Result::reset,
+            false,
+            0},
+        Row{"huge_200", {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxx"}, Result::ok, true, 0},
+        Row{"huge_410",
+            {"HTTP/1.1 410 Gone\r\nContent-Length: 3000000000\r\n\r\nxxx"},
+            Result::reset,
+            false,
+            0},
+        Row{"body_short_503",
+            {"HTTP/1.1 503 Full\r\nContent-Length: 10\r\n\r\nhalf"},
+            Result::reset,
+            false,
+            0},
+        Row{"body_short_429",
+            {"HTTP/1.1 429 Slow\r\nRetry-After: 5\r\nContent-Length: 10\r\n\r\nhalf", true},
+            Result::reset,
+            false,
+            0},
+        Row{"length_negative", {"HTTP/1.1 504 Used\r\nContent-Length: -1\r\n\r\n"}, Result::reset, false, 0},
+        Row{"no_length_stays_open", {"HTTP/1.1 503 Full\r\n\r\nx"}, Result::reset, false, 0},
+        Row{"noise", {"\x16\x03 200 \r\n"}, Result::reset, false, 0},
+        Row{"second_copy_behind", {answer("503 Full") + answer("503 Full")}, Result::full, false, 0},
+        Row{"noise_behind", {answer("200 OK") + "\x01\x02noise"}, Result::ok, true, 0},
+        Row{"wait_with_a_rest", {answer("429 Slow", "Retry-After: 5 or so\r\n")}, Result::full, false, 0},
+        Row{"wait_negative", {answer("429 Slow", "Retry-After: -5\r\n")}, Result::full, false, 0},
+        Row{"wait_infinite", {answer("429 Slow", "Retry-After: inf\r\n")}, Result::full, false, 0},
         Row{"ended", {"", true}, Result::reset, false, 0},
         Row{"reset", {"", false, true}, Result::reset, false, 0},
         Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
@@ -128,6 +172,42 @@
   EXPECT_DOUBLE_EQ(25, o.report->limit);
 }
 
+// Risk: a report that can't be read is taken for zeros, which say that there is no limit.
+TEST(Endpoints, AReportThatCantBeReadIsNone) {
+  for (const char* told : {"", "x0", "x0=,x1=", "x0=0.4", "x0=0.4,x1=25,", "x0=0.4,x1=2\x01", "x0=nan,x1=inf",
+                           "x0=0.4;x1=25", "x0=0.4,x1=99999999999"}) {
+    Server s([&](const Seen&) { return Act{answer("200 OK", std::string("X-Pressure: ") + told + "\r\n")}; });
+    Pool p;
+    p.endpoints.address("e", s.address());
+    EXPECT_FALSE(p.call("m").report) << told;
+  }
+}
+
+// Risk: what comes behind a good answer is read as the answer to the next call on that connection.
+TEST(Endpoints, WhatComesBehindAnAnswerIsNotTheNextOne) {
+  std::atomic<int> calls{0};
+  Server s([&](const Seen&) {
+    return ++calls == 1 ? Act{answer("200 OK") + answer("200 OK")} : Act{answer("503 Full")};
+  });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  EXPECT_EQ(Result::ok, p.call("a").result);
+  EXPECT_EQ(Result::full, p.call("b").result);
+  EXPECT_NE(s.seen()[0].connection, s.seen()[1].connection);
+}
+
+// Risk: addresses and connections of endpoints that are gone are kept for good.
+TEST(Endpoints, WhatIsGoneIsForgotten) {
+  Server s([](const Seen&) { return Act{answer("200 OK")}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  p.call("a");
+  EXPECT_EQ(1u, p.endpoints.idle());
+  p.endpoints.forget("e");
+  EXPECT_EQ(0u, p.endpoints.idle());
+  EXPECT_EQ(Result::connect_failed, p.call("b").result);
+}
+
 TEST(Endpoints, ConnectionsAreReusedAndClosedOnDemand) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
