Parse answers step by step: a length over the limit took as much memory as it said

To blame: Beast (Boost 1.74) basic_parser::put, which in eager mode goes on after finish_header and overlooks its error; ruled out: kernel buffers (the resident peak, VmHWM, was 46 MB itself) and clients.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -36,7 +36,7 @@
 
   // What is left of `in` was not part of the answer, once that is whole.
   State take(std::string& in) {
-    while (!in.empty()) {
+    for (int still = 0; !in.empty() && still < 3;) {
       if (first_.size() < kFirstLine) first_.append(in, 0, kFirstLine - first_.size());
       error_code e;
       const std::size_t used = parser_->put(asio::buffer(in), e);
@@ -47,9 +47,8 @@
         if (parser_->get().result_int() / 100 != 1) return State::whole;
         if (++interim_ > kMostInterim) return State::spoilt;
         begin();
-      } else if (used == 0) {
-        return State::partial;
       }
+      still = used == 0 ? still + 1 : 0;
     }
     return State::partial;
   }
@@ -71,7 +70,9 @@
   void begin() {
     first_.clear();
     parser_.emplace();
-    parser_->eager(true);
+    // Step by step: an eager parser (Beast of Boost 1.74) overlooks that a length is over the limit, and
+    // takes as much memory as it says.
+    parser_->eager(false);
     parser_->body_limit(body_limit_);
     parser_->header_limit(kHeaderLimit);
   }
