Keep room for clients that ask: hold what has asked once to a quarter of the descriptors, longest idle ended first

By the second, 128 connections, a third of 384 descriptors, had asked once and idled; from then on fewer requests reached the sender. To blame: clients.cpp kept idle connections until its own table was full. A connection that only sent PING is no longer taken for one in use.

--- a/src/config.h
+++ b/src/config.h
@@ -7,7 +7,7 @@
 
 namespace grademux {
 
-constexpr std::int64_t kSpareSockets = 32;  // files, the agent's connections and the listener
+constexpr std::int64_t kSpareSockets = 24;  // files, the agent's connections and the listener
 
 struct Config {
   std::string path, listen, discovery, state;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,23 +14,28 @@
 // After SIGTERM: no call is started that would last longer, and the process is gone well before the 3.7 s at
 // which it may be killed. New clients come for up to 0.4 s.
 constexpr Micros kStopAfter = 3'400'000, kLateClients = 600'000, kLook = 20'000;
+// Clients hold a third of the descriptors at most: those that hand messages in are held to less, so that one
+// more can always come.
+constexpr std::int64_t kProvenPart = 4;
 
 void run(boost::asio::io_context& io, boost::asio::signal_set& signals, Config c) {
   Journal journal(c.state, c.disk_bytes);
   const tcp::endpoint agent = parseAddress(c.discovery);
-  // Descriptors: the calls out, then half of the rest for clients, a quarter for idle connections.
+  // Descriptors: the calls out, then a fifth of the rest for idle connections, all else for clients.
   const std::int64_t left = c.sockets - kSpareSockets - c.settings.slots;
   Host* to_host = nullptr;
   Notices notices(Agent(io, agent, c.discovery), [&](const std::string& id) { to_host->told(id); });
-  Endpoints endpoints(io, {c.settings.dial_timeout, c.settings.conn_idle, static_cast<std::size_t>(left / 4)},
+  Endpoints endpoints(io, {c.settings.dial_timeout, c.settings.conn_idle, static_cast<std::size_t>(left / 5)},
                       [&](Outcome o) { to_host->outcome(std::move(o)); });
   Host host(io, c.settings, c.seed, journal, endpoints, notices);
   to_host = &host;
   host.recover(c.known);
   Watcher watcher(Agent(io, agent, c.discovery), [&](const json& answer) { return host.list(answer); });
   watcher.start(host.version());
-  Clients clients(io, parseAddress(c.listen), static_cast<std::size_t>(left / 2),
-                  [&](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); });
+  Clients clients(
+      io, parseAddress(c.listen),
+      {static_cast<std::size_t>(left - left / 5), static_cast<std::size_t>(c.sockets / kProvenPart)},
+      [&](Clients::Put p, Clients::Reply r) { host.put(std::move(p), std::move(r)); });
 
   boost::asio::steady_timer look(io);
   Micros stop_from = 0;
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -24,10 +24,11 @@
 // A connection is owed an error or its end within 3 s. Limits on: the first byte, a whole request from its
 // first byte on, a reply's way out, and the discard after an error.
 constexpr Micros kFirstByte = 2'000'000, kWhole = 2'000'000, kWrite = 2'000'000, kLeave = 500'000;
-constexpr Micros kSweep = 200'000;       // how often the limits are looked at
+constexpr Micros kSweep = 100'000;       // how often the limits are looked at
 constexpr Micros kMayClose = 2'000'000;  // without an open request for so long, a client expects the end
-constexpr Micros kKeep = 30'000'000;     // a connection that asked once and never again
-constexpr Micros kNewcomer = 100'000;    // one that wants something has said so by then
+constexpr Micros kKeep = 300'000'000;    // while few are open, a connection that asks seldom is let be
+constexpr std::size_t kCrowd = 8;        // many are open once they take more than the table's part of this
+constexpr Micros kNewcomer = 200'000;    // one that wants something has said so by then
 constexpr int kMostFaults = 12;          // useless requests in a row, answered ever more slowly
 constexpr Micros kRest = 10'000, kMostRest = 320'000;
 constexpr std::size_t kLongestId = 256;
@@ -105,7 +106,8 @@
   Micros since = monotonicNow();
   std::size_t thrown = 0;
   int faults = 0;  // useless requests in a row
-  bool closing = false, open = true, proven = false;
+  bool closing = false, open = true;
+  bool useful = false, proven = false;  // has had an answer that was no error; has handed a message in
 
   void enter(Phase p) {
     if (p != Phase::partial || phase != p) since = monotonicNow();
@@ -177,7 +179,8 @@
   void answer(const std::string& reply) {
     const bool useless = reply.rfind("-ERR", 0) == 0;
     faults = useless ? faults + 1 : 0;
-    proven = proven || !useless;
+    useful = useful || !useless;
+    proven = proven || (!useless && phase == Phase::asked);
     closing = closing || faults >= kMostFaults;
     out = reply + "\r\n";
     enter(Phase::writing);
@@ -222,7 +225,7 @@
     const Micros spent = now - since;
     switch (phase) {
       case Phase::idle:
-        if (spent >= (proven || faults > 0 ? kKeep : kFirstByte)) close();
+        if (spent >= (!useful && faults == 0 ? kFirstByte : clients.crowded() ? kMayClose : kKeep)) close();
         break;
       case Phase::partial:
         if (spent < kWhole) break;
@@ -246,10 +249,11 @@
   std::pair<int, Micros> rank(Micros now) const {
     const Micros spent = now - since;
     if (phase == Phase::asked || phase == Phase::writing) return {9, since};
-    if (phase == Phase::leaving || phase == Phase::resting) return {spent >= kNewcomer ? 0 : 3, since};
-    if (!proven) return {spent >= kNewcomer ? 1 : 4, since};
-    if (phase == Phase::partial) return {8, since};
-    return {spent >= kMayClose ? 2 : 5, since};
+    if (phase == Phase::partial && proven) return {8, since};
+    // A newcomer's first request is on its way: closed now, it would have failed.
+    const bool useless = phase == Phase::leaving || phase == Phase::resting;
+    if (useless || !proven) return {spent >= kNewcomer ? !useless : 4, since};
+    return {spent >= kMayClose ? 2 : 3, since};
   }
 
   void close() {
@@ -263,12 +267,12 @@
   }
 };
 
-Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, std::size_t most, OnPut on_put)
+Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, Limits limits, OnPut on_put)
     : io_(io),
       acceptor_(io),
       pause_(io),
       sweeper_(io),
-      most_(most),
+      limits_(limits),
       on_put_(std::move(on_put)),
       piece_(kPiece) {
   acceptor_.open(listen.protocol());
@@ -296,7 +300,7 @@
 // that leave good clients waiting in the backlog, and against running out of descriptors, which the calls to
 // endpoints need too.
 bool Clients::makeRoom() {
-  if (sessions_.size() < most_) return true;
+  if (sessions_.size() < limits_.all) return true;
   const Micros now = monotonicNow();
   std::shared_ptr<Session> least;
   for (const auto& s : sessions_)
@@ -306,6 +310,26 @@
   return true;
 }
 
+// Those that hand messages in may hold so many connections altogether, idle ones too: beyond that they can't
+// ask. So the one that has idled longest is ended while there is still room for the next.
+void Clients::limitProven() {
+  std::size_t proven = 0;
+  std::shared_ptr<Session> longest;
+  for (const auto& s : sessions_) {
+    if (!s->proven) continue;
+    ++proven;
+    error_code e;
+    if (s->phase == Session::Phase::idle && (!longest || s->since < longest->since) &&
+        s->socket.available(e) == 0)
+      longest = s;
+  }
+  if (longest && proven >= limits_.proven) longest->close();
+}
+
+// Guards against clients that ask once and keep their connection: those who hold it have only so many, too,
+// and what idles here is missing there.
+bool Clients::crowded() const { return kCrowd * sessions_.size() > limits_.all; }
+
 void Clients::accept() {
   if (accepting_) return;
   accepting_ = true;
@@ -323,6 +347,7 @@
 
 void Clients::admit() {
   if (!makeRoom()) return retryAccept();  // each has a request open, which is a matter of milliseconds
+  limitProven();
   const auto session = std::move(newcomer_);
   newcomer_ = nullptr;
   sessions_.insert(session);
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -23,9 +23,13 @@
     TakenOn message;
     Micros may_last = 0;
   };
+  // Connections altogether, and those among them that have handed a message in.
+  struct Limits {
+    std::size_t all = 1, proven = 1;
+  };
   using OnPut = std::function<void(Put, Reply)>;
 
-  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, std::size_t most,
+  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
           OnPut on_put);  // throws when it can't listen
   ~Clients();
   Clients(const Clients&) = delete;
@@ -40,6 +44,8 @@
   struct Session;
   void accept();
   bool makeRoom();
+  bool crowded() const;
+  void limitProven();
   void admit();
   void retryAccept();
   void sweep();
@@ -48,7 +54,7 @@
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_, sweeper_;
-  std::size_t most_;
+  Limits limits_;
   OnPut on_put_;
   std::set<std::shared_ptr<Session>> sessions_;
   std::shared_ptr<Session> newcomer_;  // accepted, waits for room
--- a/tests/net_clients_test.cpp
+++ b/tests/net_clients_test.cpp
@@ -47,6 +47,18 @@
   EXPECT_EQ("+OK", good.put("good", "order", 7));
 }
 
+// Risk: clients that ask once and keep their connection use up what they may hold, and ask no more.
+TEST(BadClients, WhatIdlesInACrowdIsEnded) {
+  Small f;
+  std::vector<std::unique_ptr<Client>> kept;
+  for (int i = 0; i < 40; ++i) {
+    kept.push_back(std::make_unique<Client>(f.program.port()));
+    ASSERT_EQ("+OK", kept.back()->put("m" + std::to_string(i), "notice", 7));
+  }
+  EXPECT_TRUE(kept[0]->ended());
+  EXPECT_TRUE(kept[1]->ended());
+}
+
 // Risk: the same useless request again and again, or hundreds at once, take the processor from all others.
 TEST(BadClients, OneThatIsTurnedAwayAgainAndAgainIsHeardNoMore) {
   Small f;
