--- a/src/net/endpoints.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -1,11 +1,14 @@
-// grademux: calls to endpoints; see endpoints.h.
-#include "endpoints.h"
+// grademux: calls to endpoints; see http_carrier.h.
+#include "http_carrier.h"
 
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <cmath>
 #include <cstdlib>
 
+#include "../../core/clock.h"
+#include "../../net/address.h"
+
 namespace grademux {
 
 namespace asio = boost::asio;
@@ -78,31 +81,22 @@
 
 }  // namespace
 
-Micros monotonicNow() {
-  const auto t = std::chrono::steady_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::microseconds>(t).count();
-}
-Micros unixNow() {
-  const auto t = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::microseconds>(t).count();
-}
-
-Endpoints::Endpoints(asio::io_context& io, Limits limits, OnOutcome on_outcome)
+HttpCarrier::HttpCarrier(asio::io_context& io, Limits limits, OnOutcome on_outcome)
     : io_(io), limits_(limits), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
 
-void Endpoints::address(const std::string& endpoint, const std::string& address) {
+void HttpCarrier::address(const std::string& endpoint, const std::string& address) {
   std::string& known = addresses_[endpoint];
   if (known == address) return;
   known = address;
   closeIdle(endpoint);
 }
 
-void Endpoints::forget(const std::string& endpoint) {
+void HttpCarrier::forget(const std::string& endpoint) {
   closeIdle(endpoint);
   addresses_.erase(endpoint);
 }
 
-void Endpoints::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) {
+void HttpCarrier::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) {
   const CallId id{m.id, attempt};
   const Micros began = monotonicNow();
   Call call;
@@ -136,7 +130,7 @@
                       [this, id](const HttpAnswer& a) { over(id, a); });
 }
 
-void Endpoints::over(const CallId& id, const HttpAnswer& answer) {
+void HttpCarrier::over(const CallId& id, const HttpAnswer& answer) {
   auto it = calls_.find(id);
   if (it == calls_.end()) return;
   Outcome o;
@@ -155,7 +149,7 @@
   on_outcome_(std::move(o));
 }
 
-void Endpoints::report(const CallId& id, Result result, Micros began) {
+void HttpCarrier::report(const CallId& id, Result result, Micros began) {
   asio::post(io_, [this, id, result, began] {
     Outcome o;
     o.id = id.first;
@@ -166,7 +160,7 @@
   });
 }
 
-void Endpoints::cancel(const std::string& id, int attempt) {
+void HttpCarrier::cancel(const std::string& id, int attempt) {
   auto it = calls_.find({id, attempt});
   if (it == calls_.end()) return;
   const Micros began = it->second.began;
@@ -174,14 +168,14 @@
   report({id, attempt}, Result::cancelled, began);
 }
 
-void Endpoints::closeIdle(const std::string& endpoint) {
+void HttpCarrier::closeIdle(const std::string& endpoint) {
   auto it = idle_.find(endpoint);
   if (it == idle_.end()) return;
   idle_count_ -= it->second.size();
   idle_.erase(it);
 }
 
-void Endpoints::keep(Call& call) {
+void HttpCarrier::keep(Call& call) {
   const auto listed = addresses_.find(call.endpoint);
   if (listed == addresses_.end() || call.address != listed->second || !call.connection->reusable()) return;
   if (idle_count_ >= limits_.max_idle) return;
@@ -191,7 +185,7 @@
 }
 
 // Closes what has idled almost as long as an endpoint allows. Guards against a call that crosses the close.
-void Endpoints::sweep() {
+void HttpCarrier::sweep() {
   if (sweeping_ || limits_.conn_idle <= 0) return;
   const Micros most = limits_.conn_idle - limits_.conn_idle / 20;
   Micros next = 0;
--- a/src/net/endpoints.h
+++ b/src/carriers/http/http_carrier.h
@@ -1,5 +1,5 @@
-// grademux: calls to endpoints: the connection pool, and the outcome of each call. No policy: when a call
-// is made, how long it may take and which connections are kept is told from outside.
+// grademux: calls to endpoints over HTTP/1.1: the connection pool, and the outcome of each call. No policy:
+// when a call is made, how long it may take and which connections are kept is told from outside.
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
@@ -8,26 +8,25 @@
 #include <map>
 #include <memory>
 
-#include "http.h"
-#include "journal.h"
+#include "../../net/http_connection.h"
+#include "../carrier.h"
 
 namespace grademux {
 
-class Endpoints {
+class HttpCarrier : public Carrier {
  public:
-  using OnOutcome = std::function<void(Outcome)>;
   struct Limits {
     Micros dial_timeout = 0, conn_idle = 0;
     std::size_t max_idle = 1;
   };
-  Endpoints(boost::asio::io_context& io, Limits limits, OnOutcome on_outcome);
-
-  void address(const std::string& endpoint, const std::string& address);  // as listed, new or changed
-  void forget(const std::string& endpoint);  // listed no more; calls that are out run on
-  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout);
-  void cancel(const std::string& id, int attempt);
-  void closeIdle(const std::string& endpoint);
-  std::size_t out() const { return calls_.size(); }
+  HttpCarrier(boost::asio::io_context& io, Limits limits, OnOutcome on_outcome);
+
+  void address(const std::string& endpoint, const std::string& address) override;
+  void forget(const std::string& endpoint) override;
+  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) override;
+  void cancel(const std::string& id, int attempt) override;
+  void closeIdle(const std::string& endpoint) override;
+  std::size_t out() const override { return calls_.size(); }
   std::size_t idle() const { return idle_count_; }
 
  private:
@@ -57,7 +56,4 @@
   bool sweeping_ = false;
 };
 
-Micros monotonicNow();  // a clock that only goes forward
-Micros unixNow();       // a clock that holds across processes
-
 }  // namespace grademux
--- /dev/null
+++ b/src/core/clock.h
@@ -0,0 +1,11 @@
+// grademux: the two clocks of the program, in microseconds. Modules that decide take the time as an argument.
+#pragma once
+
+#include "grademux/sender.h"
+
+namespace grademux {
+
+Micros monotonicNow();  // a clock that only goes forward
+Micros unixNow();       // a clock that holds across processes
+
+}  // namespace grademux
--- a/src/net/host.cpp
+++ b/src/core/host.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <iostream>
 
+#include "clock.h"
+
 namespace grademux {
 
 namespace asio = boost::asio;
@@ -14,19 +16,15 @@
 constexpr Micros kListed = INT64_MAX;
 constexpr Micros kWakeGrain = 1000;  // wakes this close are one
 
-std::string busy(Micros pause) {
-  return pause > 0 ? "-BUSY " + std::to_string((pause + 999) / 1000) : std::string("-BUSY");
-}
-
 }  // namespace
 
-Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
-           Endpoints& endpoints, Notices& notices)
+Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
+           Notices& notices)
     : io_(io),
       settings_(settings),
       sender_(std::move(settings), seed),
       journal_(journal),
-      endpoints_(endpoints),
+      carrier_(carrier),
       notices_(notices),
       turn_timer_(io),
       wake_timer_(io) {
@@ -54,11 +52,14 @@
   }
   for (const Journal::Entry& e : r.entries) {
     if (e.ended) {
+      const Ending how = e.notice.handed_back ? Ending::handed_back : Ending::given_up;
+      owed_[e.message.id] = {{how, e.notice.at, e.notice.retry_in_ms * 1000}, digestOf(e.message), 0};
       notices_.owe(e.message.id, e.notice);
       continue;
     }
     Held& h = held_[e.message.id];
     h.message = e.message;
+    h.digest = digestOf(e.message);
     h.attempts = static_cast<int>(e.attempts.size());
     Resumed m;
     m.message.id = e.message.id;
@@ -90,8 +91,8 @@
   u.kind = news.kind;
   for (const ListedEndpoint& l : news.entries) {
     u.endpoints.push_back(l.endpoint);
-    if (l.endpoint.state != EndpointState::gone) endpoints_.address(l.endpoint.id, l.address);
-    if (l.endpoint.state == EndpointState::gone) endpoints_.forget(l.endpoint.id);
+    if (l.endpoint.state != EndpointState::gone) carrier_.address(l.endpoint.id, l.address);
+    if (l.endpoint.state == EndpointState::gone) carrier_.forget(l.endpoint.id);
   }
   const Micros now = monotonicNow();
   const std::set<std::int64_t> listed = list_.destinations();
@@ -103,39 +104,76 @@
   add(std::move(u));
 }
 
-void Host::put(Clients::Put put, Clients::Reply reply) {
-  const TakenOn& m = put.message;
+void Host::submit(Submission s, Reply reply) {
+  const TakenOn& m = s.message;
   const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                 [&](const MessageClass& c) { return c.name == m.message_class; });
-  if (cls == settings_.classes.end()) return reply("-ERR unknown class");
-  if (cls->effect == Effect::keyed && m.idempotency_key.empty()) return reply("-ERR no k");
-  if (destinations_.empty()) return reply(busy(settings_.max_pause));
-  if (!destinations_.count(m.destination)) return reply("-ERR unknown destination");
-  auto known = held_.find(m.id);
-  if (known != held_.end()) return reply(known->second.reply ? "-ERR handed in twice" : "+OK");
-  if (past_.count(m.id)) return reply("+OK");  // it was taken on, and has its end
-  if (!journal_.reserve(m)) return reply(busy(settings_.max_pause));
+  if (cls == settings_.classes.end()) return reply(Answer::rejected("unknown-class", "unknown class"));
+  if (cls->effect == Effect::keyed && m.idempotency_key.empty())
+    return reply(Answer::rejected("missing-key", "no k"));
+  // The id first: what was taken on stays so, even if its destination is listed no more.
+  const std::uint64_t digest = digestOf(m);
+  Answer known;
+  if (auto it = held_.find(m.id); it != held_.end()) {
+    if (it->second.digest != digest) known.kind = Answer::Kind::conflict;
+    else if (!it->second.replies.empty()) return it->second.replies.push_back(std::move(reply));
+    return reply(known);
+  }
+  const auto owed = owed_.find(m.id);
+  if (const Past* past = owed != owed_.end() ? &owed->second : journal_.past(m.id)) {
+    if (past->digest != digest) known.kind = Answer::Kind::conflict;
+    else if (!ended_.count(m.id)) known.end = past->end;
+    return reply(known);
+  }
+  if (destinations_.empty()) return reply(Answer::refused(settings_.max_pause));
+  if (!destinations_.count(m.destination))
+    return reply(Answer::rejected("unknown-destination", "unknown destination"));
+  if (!journal_.reserve(m)) return reply(Answer::refused(settings_.max_pause));
   Arrival a;
   a.id = m.id;
   a.message_class = m.message_class;
   a.order_key = m.order_key;
   a.destination = m.destination;
-  a.give_up_at = monotonicNow() + put.may_last;
+  a.give_up_at = monotonicNow() + s.may_last;
   a.repeat = m.repeat;
   Held& h = held_[m.id];
-  h.message = std::move(put.message);
-  h.message.give_up_at = unixNow() + put.may_last;
-  h.reply = std::move(reply);
+  h.message = std::move(s.message);
+  h.message.give_up_at = unixNow() + s.may_last;
+  h.digest = digest;
+  h.replies.push_back(std::move(reply));
   fresh_.insert(a.id);
   add(std::move(a));
 }
 
+Status Host::status(const std::string& id) const {
+  Status s;
+  const auto held = held_.find(id);
+  if (held != held_.end()) {  // one that is not on record yet is not known
+    if (held->second.replies.empty()) s.state = Status::State::open;
+    return s;
+  }
+  const auto owed = owed_.find(id);
+  const Past* past = owed != owed_.end() ? &owed->second : journal_.past(id);
+  if (!past) return s;
+  s.state = ended_.count(id) ? Status::State::open : Status::State::ended;
+  s.end = past->end;
+  return s;
+}
+
+void Host::whenEnded(const std::string& id, std::function<void(const End&)> then) {
+  const auto held = held_.find(id);
+  if (held != held_.end()) return held->second.watchers.push_back(std::move(then));
+  const auto ended = ended_.find(id);
+  if (ended != ended_.end()) ended->second.watchers.push_back(std::move(then));
+}
+
 void Host::outcome(Outcome o) {
   auto it = held_.find(o.id);
   if (it != held_.end()) {
     if (o.finished) {
-      journal_.over(o.id);
-      over(o.id);
+      const End end{o.result == Result::ok ? Ending::delivered : Ending::withdrawn, unixNow(), 0};
+      journal_.over(o.id, {end, it->second.digest, unixNow() + longest_});
+      over(o.id, end);
     } else if (o.result == Result::full || o.result == Result::connect_failed ||
                o.result == Result::not_sent) {
       journal_.neverRan(o.id, static_cast<std::size_t>(o.attempt));
@@ -145,7 +183,13 @@
 }
 
 // Written with the next turn: until then a restart would tell it once more, which does no harm.
-void Host::told(const std::string& id) { journal_.over(id); }
+void Host::told(const std::string& id) {
+  auto it = owed_.find(id);
+  if (it == owed_.end()) return;
+  it->second.until = unixNow() + longest_;
+  journal_.over(id, it->second);
+  owed_.erase(it);
+}
 
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
@@ -198,18 +242,21 @@
   }
   const bool kept = journal_.flush();
   if (!kept) std::cerr << "journal: could not be written\n";
-  for (const std::string& id : fresh_) {
+  std::set<std::string> fresh;  // an answer may bring the next submission
+  fresh.swap(fresh_);
+  for (const std::string& id : fresh) {
     Held& h = held_.at(id);
-    const Clients::Reply reply = std::move(h.reply);
-    h.reply = nullptr;
+    std::vector<Reply> replies;
+    replies.swap(h.replies);
     if (!kept) {  // nothing is taken on that a restart would forget
-      journal_.over(id);
+      journal_.drop(id);
       held_.erase(id);
       add(Gone{id});
     }
-    reply(kept ? "+OK" : busy(settings_.max_pause));
+    for (const Reply& reply : replies)
+      reply(kept ? Answer::accepted() : Answer::refused(settings_.max_pause));
   }
-  fresh_.clear();
+  if (kept) announce();
   std::size_t next = 0;
   for (const Action& a : actions) {
     if (const auto* s = std::get_if<Send>(&a)) {
@@ -217,7 +264,7 @@
       const int attempt = sends[next++].second;
       auto it = held_.find(s->id);
       if (kept) {
-        endpoints_.call(it->second.message, attempt, s->endpoint, s->timeout);
+        carrier_.call(it->second.message, attempt, s->endpoint, s->timeout);
         continue;
       }
       Outcome o;
@@ -226,9 +273,9 @@
       o.result = Result::not_sent;
       outcome(std::move(o));
     } else if (const auto* c = std::get_if<Cancel>(&a)) {
-      endpoints_.cancel(c->id, c->attempt);
+      carrier_.cancel(c->id, c->attempt);
     } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
-      endpoints_.closeIdle(i->endpoint);
+      carrier_.closeIdle(i->endpoint);
     } else if (const auto* w = std::get_if<WakeIn>(&a)) {
       wakes_.insert((last_turn_ + w->span + kWakeGrain - 1) / kWakeGrain * kWakeGrain);
     }
@@ -240,27 +287,38 @@
 void Host::end(const std::string& id, bool handed_back, Micros pause) {
   auto it = held_.find(id);
   if (it == held_.end()) return;
-  if (it->second.reply) {
-    const Clients::Reply reply = std::move(it->second.reply);
+  if (!it->second.replies.empty()) {
+    const std::vector<Reply> replies = std::move(it->second.replies);
     fresh_.erase(id);
     held_.erase(it);
-    return reply(handed_back ? busy(pause) : "-ERR given up");
+    Answer a = Answer::refused(pause);
+    if (!handed_back) a.kind = Answer::Kind::given_up;
+    for (const Reply& reply : replies) reply(a);
+    return;
   }
-  const Notice n{handed_back, (pause + 999) / 1000};
+  const End e{handed_back ? Ending::handed_back : Ending::given_up, unixNow(), pause};
+  const Notice n{handed_back, (pause + 999) / 1000, e.at};
   journal_.noticeOwed(id, n);
-  over(id);
+  owed_[id] = {e, it->second.digest, 0};
+  over(id, e);
   notices_.owe(id, n);
 }
 
-// Guards against a second effect when the id of a message that was taken on comes again after its end.
-void Host::over(const std::string& id) {
-  held_.erase(id);
-  const Micros now = monotonicNow();
-  while (!past_order_.empty() && past_order_.front().first <= now) {
-    past_.erase(past_order_.front().second);
-    past_order_.pop_front();
-  }
-  if (past_.insert(id).second) past_order_.emplace_back(now + longest_, id);
+// Guards against a second effect when the id of a message that was taken on comes again after its end: the
+// journal remembers it.
+void Host::over(const std::string& id, const End& end) {
+  auto it = held_.find(id);
+  ended_[id] = {end, std::move(it->second.watchers)};
+  held_.erase(it);
+  journal_.forgetPast(unixNow());
+}
+
+// Ends are on record now: whoever waits for one may hear it.
+void Host::announce() {
+  std::unordered_map<std::string, Ended> ended;
+  ended.swap(ended_);
+  for (const auto& [id, e] : ended)
+    for (const auto& then : e.watchers) then(e.end);
 }
 
 void Host::wake() {
--- a/src/net/host.h
+++ b/src/core/host.h
@@ -8,25 +8,28 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "clients.h"
-#include "discovery.h"
-#include "endpoints.h"
+#include "../carriers/carrier.h"
+#include "../discovery/discovery.h"
 #include "journal.h"
+#include "settings.h"
 
 namespace grademux {
 
-class Host {
+class Host : public Intake {
  public:
-  Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
-       Endpoints& endpoints, Notices& notices);
+  Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
+       Notices& notices);
 
   // Takes over what the journal and the configuration know: before clients are served.
   void recover(const json& known);
   std::int64_t list(const json& answer);  // discovery's answer; gives the version to go on from
   std::int64_t version() const { return list_.index(); }
-  void put(Clients::Put put, Clients::Reply reply);
+  void submit(Submission s, Reply reply) override;
+  Status status(const std::string& id) const override;
+  void whenEnded(const std::string& id, std::function<void(const End&)> then) override;
   void outcome(Outcome o);
   void told(const std::string& id);  // a notice was answered
   void stopAt(Micros at);            // the process ends then, on the monotonic clock
@@ -35,8 +38,10 @@
  private:
   struct Held {  // taken on and not over
     TakenOn message;
+    std::uint64_t digest = 0;
     int attempts = 0;
-    Clients::Reply reply;  // not answered yet
+    std::vector<Reply> replies;  // not answered yet; several if it was handed in at several doors at once
+    std::vector<std::function<void(const End&)>> watchers;
   };
   void add(Event e);
   void turn();
@@ -44,24 +49,30 @@
   void end(const std::string& id, bool handed_back, Micros pause);
   void wake();
   void takeList(const EndpointList::News& news);
-  void over(const std::string& id);
+  void over(const std::string& id, const End& end);
+  void announce();
 
   boost::asio::io_context& io_;
   Settings settings_;
   Sender sender_;
   Journal& journal_;
-  Endpoints& endpoints_;
+  Carrier& carrier_;
   Notices& notices_;
   EndpointList list_;
-  std::map<std::string, Held> held_;
+  std::unordered_map<std::string, Held> held_;
   std::set<std::string> fresh_;  // arrived since the last turn
   // Each destination, and since when it is listed no more (kListed: it is). It is known as long as a message
   // that was meant for it may last.
   std::map<std::int64_t, Micros> destinations_;
   Micros longest_ = 0;  // that a message may last
-  // Ids of messages that are over, as long as one of them may come again, the oldest first.
-  std::set<std::string> past_;
-  std::deque<std::pair<Micros, std::string>> past_order_;
+  // Ended since the last write: open to all outside until that is on record, then their watchers hear of it.
+  struct Ended {
+    End end;
+    std::vector<std::function<void(const End&)>> watchers;
+  };
+  std::unordered_map<std::string, Ended> ended_;
+  // Their notice is owed; what is remembered of them goes to the journal once it was told.
+  std::unordered_map<std::string, Past> owed_;
   std::vector<Event> events_;
   std::set<Micros> wakes_;
   boost::asio::steady_timer turn_timer_, wake_timer_;
--- a/src/net/journal.cpp
+++ b/src/core/journal.cpp
@@ -28,7 +28,8 @@
   kAttempted = 'T',
   kNeverRan = 'N',
   kOwed = 'W',
-  kOver = 'O',
+  kOver = 'O',  // and not remembered: earlier versions wrote it for every end
+  kEnded = 'E',
   kList = 'L',
   kAiling = 'H'
 };
@@ -68,6 +69,7 @@
       u |= static_cast<std::uint64_t>(static_cast<unsigned char>(in_[at_++])) << (8 * i);
     return static_cast<std::int64_t>(u);
   }
+  bool more() const { return at_ < in_.size(); }
   std::string text() {
     const auto n = static_cast<std::uint64_t>(number());
     if (n > in_.size() - at_) throw std::runtime_error("short record");
@@ -117,8 +119,19 @@
   return Writer(kNeverRan).text(id).number(static_cast<std::int64_t>(attempt)).out();
 }
 std::string owedPayload(const std::string& id, const Notice& n) {
-  return Writer(kOwed).text(id).number(n.handed_back).number(n.retry_in_ms).out();
+  return Writer(kOwed).text(id).number(n.handed_back).number(n.retry_in_ms).number(n.at).out();
 }
+std::string endedPayload(const std::string& id, const Past& p) {
+  return Writer(kEnded)
+      .text(id)
+      .number(static_cast<std::int64_t>(p.end.how))
+      .number(p.end.at)
+      .number(p.end.pause)
+      .number(static_cast<std::int64_t>(p.digest))
+      .number(p.until)
+      .out();
+}
+std::uint64_t sizeOfPast(const std::string& id) { return kHeader + 1 + 6 * 8 + id.size(); }
 std::string listPayload(const std::string& list) { return Writer(kList).text(list).out(); }
 std::string ailingPayload(const Ailment& a) {
   return Writer(kAiling).text(a.endpoint).number(a.destination).number(a.down).number(a.cold_since).out();
@@ -242,6 +255,19 @@
     entries_[id] = std::move(e);
     return;
   }
+  if (type == kEnded) {
+    Past p;
+    const std::int64_t how = r.number();
+    if (how < 0 || how > static_cast<std::int64_t>(Ending::withdrawn))
+      throw std::runtime_error("unknown end");
+    p.end.how = static_cast<Ending>(how);
+    p.end.at = r.number();
+    p.end.pause = r.number();
+    p.digest = static_cast<std::uint64_t>(r.number());
+    p.until = r.number();
+    entries_.erase(id);
+    return remember(id, p);
+  }
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   Entry& e = it->second;
@@ -257,6 +283,7 @@
     e.ended = true;
     e.notice.handed_back = r.number() != 0;
     e.notice.retry_in_ms = r.number();
+    if (r.more()) e.notice.at = r.number();  // earlier versions kept no time
   } else if (type == kOver) {
     entries_.erase(it);
   } else {
@@ -265,7 +292,7 @@
 }
 
 std::uint64_t Journal::liveBytes() const {
-  std::uint64_t live = 2 * (kHeader + 16) + list_.size() + ailments_.size() * 128;
+  std::uint64_t live = 2 * (kHeader + 16) + list_.size() + ailments_.size() * 128 + past_bytes_;
   for (const auto& [id, e] : entries_) live += sizeOf(e.message) + kSeeThrough;
   return live;
 }
@@ -293,12 +320,39 @@
 void Journal::attempted(const std::string& id, const JournaledAttempt& a) { append(attemptedPayload(id, a)); }
 void Journal::neverRan(const std::string& id, std::size_t attempt) { append(neverRanPayload(id, attempt)); }
 void Journal::noticeOwed(const std::string& id, const Notice& n) { append(owedPayload(id, n)); }
-void Journal::over(const std::string& id) {
+void Journal::over(const std::string& id, const Past& past) {
+  auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  live_ -= sizeOf(it->second.message) + kSeeThrough;
+  const std::uint64_t before = past_bytes_;
+  append(endedPayload(id, past));
+  live_ += past_bytes_ - before;
+}
+void Journal::drop(const std::string& id) {
   auto it = entries_.find(id);
   if (it == entries_.end()) return;
   live_ -= sizeOf(it->second.message) + kSeeThrough;
   append(Writer(kOver).text(id).out());
 }
+
+void Journal::remember(const std::string& id, const Past& past) {
+  if (!past_.insert_or_assign(id, past).second) return;
+  past_order_.emplace_back(past.until, id);
+  past_bytes_ += sizeOfPast(id);
+}
+const Past* Journal::past(const std::string& id) const {
+  const auto it = past_.find(id);
+  return it == past_.end() ? nullptr : &it->second;
+}
+void Journal::forgetPast(Micros now) {
+  while (!past_order_.empty() && past_order_.front().first <= now) {
+    const std::string& id = past_order_.front().second;
+    past_.erase(id);
+    past_bytes_ -= sizeOfPast(id);
+    live_ -= sizeOfPast(id);
+    past_order_.pop_front();
+  }
+}
 void Journal::listed(const std::string& list) {
   append(listPayload(list));
   live_ = liveBytes();
@@ -344,6 +398,7 @@
   std::string data;
   if (!list_.empty()) data += framed(listPayload(list_));
   for (const auto& [key, a] : ailments_) data += framed(ailingPayload(a));
+  for (const auto& [until, id] : past_order_) data += framed(endedPayload(id, past_.at(id)));
   for (const Entry* e : order) {
     data += framed(acceptedPayload(e->message));
     for (std::size_t i = 0; i < e->attempts.size(); ++i) {
--- a/src/net/journal.h
+++ b/src/core/journal.h
@@ -4,21 +4,16 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
-#include "grademux/sender.h"
+#include "message.h"
 
 namespace grademux {
 
-struct TakenOn {  // what a client handed in, as it goes on to the endpoint
-  std::string id, message_class, order_key, idempotency_key, body;
-  std::int64_t destination = 0;
-  Micros give_up_at = 0;  // Unix time
-  bool repeat = false;
-};
-
 struct JournaledAttempt {
   std::string endpoint;
   Micros sent = 0;  // Unix time
@@ -28,6 +23,14 @@
 struct Notice {
   bool handed_back = false;  // else given up
   std::int64_t retry_in_ms = 0;
+  Micros at = 0;  // Unix time
+};
+
+// A message that is over, kept as long as its id may come again.
+struct Past {
+  End end;
+  std::uint64_t digest = 0;  // of its content
+  Micros until = 0;          // Unix time
 };
 
 class Journal {
@@ -66,12 +69,19 @@
   void attempted(const std::string& id, const JournaledAttempt& a);
   void neverRan(const std::string& id, std::size_t attempt);
   void noticeOwed(const std::string& id, const Notice& n);
-  void over(const std::string& id);  // delivered, withdrawn, or its notice was answered
+  // Delivered, withdrawn, or its notice was answered: nothing more is owed, and its id is remembered.
+  void over(const std::string& id, const Past& past);
+  void drop(const std::string& id);  // it was not taken on after all
   void listed(const std::string& list);
   void ailing(const Ailment& a);  // in Unix time
   bool flush();
 
+  // What is known of the end of `id`: null if it is open, unknown, or forgotten.
+  const Past* past(const std::string& id) const;
+  void forgetPast(Micros now);  // Unix time: what may not come again
+
  private:
+  void remember(const std::string& id, const Past& past);
   void append(const std::string& payload);
   void apply(const std::string& payload);
   void replay(const std::string& data);
@@ -84,7 +94,10 @@
   std::uint64_t disk_ = 0, size_ = 0, live_ = 0, reserved_ = 0, next_order_ = 0;
   int fd_ = -1;
   std::string buffer_;
-  std::map<std::string, Entry> entries_;
+  std::unordered_map<std::string, Entry> entries_;
+  std::unordered_map<std::string, Past> past_;
+  std::deque<std::pair<Micros, std::string>> past_order_;  // by when they may be forgotten
+  std::uint64_t past_bytes_ = 0;
   std::string list_;
   std::map<std::pair<std::int64_t, std::string>, Ailment> ailments_;  // the latest of each
   Recovered recovered_;
--- /dev/null
+++ b/src/core/message.cpp
@@ -0,0 +1,45 @@
+// grademux: messages; see message.h.
+#include "message.h"
+
+namespace grademux {
+
+std::uint64_t digestOf(const TakenOn& m) {
+  std::uint64_t h = 14695981039346656037ull;
+  auto add = [&h](const void* data, std::size_t size) {
+    const auto* p = static_cast<const unsigned char*>(data);
+    for (std::size_t i = 0; i < size; ++i) h = (h ^ p[i]) * 1099511628211ull;
+  };
+  auto number = [&add](std::uint64_t v) {
+    unsigned char bytes[8];
+    for (int i = 0; i < 8; ++i) bytes[i] = static_cast<unsigned char>(v >> (8 * i));
+    add(bytes, sizeof bytes);
+  };
+  for (const std::string* s : {&m.message_class, &m.order_key, &m.idempotency_key, &m.body}) {
+    number(s->size());  // so that no two texts can lend each other bytes
+    add(s->data(), s->size());
+  }
+  number(static_cast<std::uint64_t>(m.destination));
+  return h;
+}
+
+bool usableToken(const std::string& s) {
+  for (const char c : s)
+    if (c <= ' ' || c > '~') return false;
+  return s.size() <= kLongestToken;
+}
+
+const char* nameOf(Ending e) {
+  switch (e) {
+    case Ending::delivered:
+      return "delivered";
+    case Ending::handed_back:
+      return "handed_back";
+    case Ending::given_up:
+      return "given_up";
+    case Ending::withdrawn:
+      return "withdrawn";
+  }
+  return "unknown";
+}
+
+}  // namespace grademux
--- a/src/config.cpp
+++ b/src/daemon/config.cpp
@@ -5,8 +5,8 @@
 #include <fstream>
 #include <sstream>
 
-#include "net/http.h"
-#include "state.h"
+#include "../decision/state.h"
+#include "../net/address.h"
 
 namespace grademux {
 namespace {
--- a/src/config.h
+++ b/src/daemon/config.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "settings.h"
+#include "../core/settings.h"
 
 namespace grademux {
 
--- /dev/null
+++ b/src/daemon/service.cpp
@@ -0,0 +1,170 @@
+// grademux: one running sender; see service.h.
+#include "service.h"
+
+#include <csignal>
+#include <iostream>
+#include <stdexcept>
+
+#include "../admission/admission.h"
+#include "../carriers/http/http_carrier.h"
+#include "../core/clock.h"
+#include "../core/host.h"
+#include "../discovery/discovery.h"
+#include "../doors/resp/server.h"
+#include "../net/address.h"
+#include "doors.h"
+
+namespace grademux {
+
+namespace {
+
+// After SIGTERM: no call is started that would last longer, and the process is gone well before the 3.7 s at
+// which it may be killed. New clients come for up to 0.4 s.
+constexpr Micros kStopAfter = 3'400'000, kLateClients = 600'000, kLook = 20'000;
+// Clients hold a third of the descriptors at most: those that hand messages in are held to less, so that one
+// more can always come.
+constexpr std::int64_t kProvenPart = 4;
+constexpr std::int64_t kLeastClients = 8;
+// A step of the admission chain has so long: a client waits 400 ms for its answer.
+constexpr Micros kPatience = 300'000;
+
+// Descriptors: the calls out, then a fifth of the rest for idle connections, all else for clients; the doors
+// of the daemon file have theirs out of these.
+std::int64_t leftOf(const Config& c) { return c.sockets - kSpareSockets - c.settings.slots; }
+RespDoor::Limits clientLimits(const Config& c, const DaemonFile& d) {
+  const std::int64_t left = leftOf(c), clients = left - left / 5 - d.connections();
+  if (clients < kLeastClients)
+    throw std::runtime_error("the doors' max_connections are " + std::to_string(d.connections()) +
+                             " together: at most " + std::to_string(left - left / 5 - kLeastClients) +
+                             " are expected with limits.sockets " + std::to_string(c.sockets));
+  return {static_cast<std::size_t>(clients),
+          static_cast<std::size_t>(std::min(clients, c.sockets / kProvenPart))};
+}
+
+class Service {
+ public:
+  Service(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon)
+      : signals_(signals),
+        config_(std::move(config)),
+        daemon_(std::move(daemon)),
+        look_(io),
+        doors_(io),
+        clients_(io, parseAddress(config_.listen), clientLimits(config_, daemon_)) {
+    doors_.bind(daemon_.doors);
+    // Only now that every address is had: the journal of a process that can't begin stays as it is.
+    journal_ = std::make_unique<Journal>(config_.state, config_.disk_bytes);
+    const tcp::endpoint agent = parseAddress(config_.discovery);
+    notices_ = std::make_unique<Notices>(Agent(io, agent, config_.discovery),
+                                         [this](const std::string& id) { host_->told(id); });
+    carrier_ = std::make_unique<HttpCarrier>(
+        io,
+        HttpCarrier::Limits{config_.settings.dial_timeout, config_.settings.conn_idle,
+                            static_cast<std::size_t>(leftOf(config_) / 5)},
+        [this](Outcome o) { host_->outcome(std::move(o)); });
+    host_ = std::make_unique<Host>(io, config_.settings, config_.seed, *journal_, *carrier_, *notices_);
+    admission_ = std::make_unique<Admission>(io, *host_, kPatience, config_.settings.max_pause);
+    host_->recover(config_.known);
+    watcher_ = std::make_unique<Watcher>(Agent(io, agent, config_.discovery),
+                                         [this](const json& answer) { return host_->list(answer); });
+    watcher_->start(host_->version());
+    clients_.start(*admission_);
+    doors_.start(*admission_);
+    nextSignal();
+  }
+
+ private:
+  void nextSignal() {
+    signals_.async_wait([this](const boost::system::error_code& e, int number) {
+      if (e) return;
+      number == SIGHUP ? reload() : stop();
+      nextSignal();
+    });
+  }
+
+  // What can't be read or used leaves the old configuration in force, each file by itself.
+  void reload() {
+    try {
+      Config fresh = readConfig();
+      clientLimits(fresh, daemon_);
+      const std::string later = needsRestart(config_, fresh);
+      std::cerr << "reloaded, discovery at " << fresh.discovery
+                << (later.empty() ? "" : "; changed and needs a restart: ") << later << '\n';
+      if (fresh.discovery != config_.discovery) {
+        const tcp::endpoint moved = parseAddress(fresh.discovery);
+        watcher_->moveTo(moved, fresh.discovery);
+        notices_->moveTo(moved, fresh.discovery);
+      }
+      config_ = std::move(fresh);
+    } catch (const std::exception& e) {
+      std::cerr << "the new configuration is not used: " << e.what() << '\n';
+    }
+    if (!daemon_.path.empty()) reloadDoors();
+  }
+
+  void reloadDoors() {
+    std::vector<Mistake> mistakes;
+    DaemonFile fresh = readDaemonFile(daemon_.path, mistakes);
+    try {
+      if (!mistakes.empty())
+        throw std::runtime_error(
+            mistakes[0].in(daemon_.path) +
+            (mistakes.size() > 1 ? " (the first of " + std::to_string(mistakes.size()) + ")" : ""));
+      const RespDoor::Limits limits = clientLimits(config_, fresh);
+      doors_.change(fresh.doors);
+      clients_.setLimits(limits);
+      daemon_ = std::move(fresh);
+      std::cerr << "daemon file reloaded: " << doors_.count() << " doors\n";
+    } catch (const std::exception& e) {
+      std::cerr << "the new daemon file is not used: " << e.what() << '\n';
+    }
+  }
+
+  void stop() {
+    if (stop_from_ != 0) return;
+    stop_from_ = monotonicNow();
+    std::cerr << "stopping\n";
+    clients_.drain(Leaving::stopping);
+    doors_.drain();
+    admission_->drain();
+    host_->stopAt(stop_from_ + kStopAfter);
+    lookAgain();
+  }
+
+  void lookAgain() {
+    const Micros since = monotonicNow() - stop_from_;
+    const bool quiet = since > kLateClients && clients_.open() == 0 && doors_.open() == 0 &&
+                       carrier_->out() == 0 && notices_->owed() == 0 && host_->idle();
+    if (quiet || since >= kStopAfter) {
+      signals_.cancel();
+      return static_cast<boost::asio::io_context&>(look_.get_executor().context()).stop();
+    }
+    look_.expires_after(std::chrono::microseconds(kLook));
+    look_.async_wait([this](const boost::system::error_code& e) {
+      if (!e) lookAgain();
+    });
+  }
+
+  boost::asio::signal_set& signals_;
+  Config config_;
+  DaemonFile daemon_;
+  boost::asio::steady_timer look_;
+  Micros stop_from_ = 0;
+  std::unique_ptr<Journal> journal_;
+  std::unique_ptr<Notices> notices_;
+  std::unique_ptr<HttpCarrier> carrier_;
+  std::unique_ptr<Host> host_;
+  std::unique_ptr<Admission> admission_;
+  std::unique_ptr<Watcher> watcher_;
+  Doors doors_;  // last: they hold answers that what stands above owes
+  RespDoor clients_;
+};
+
+}  // namespace
+
+void serve(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon) {
+  Service service(io, signals, std::move(config), std::move(daemon));
+  std::cerr << "ready\n";
+  io.run();
+}
+
+}  // namespace grademux
--- a/src/net/discovery.h
+++ b/src/discovery/discovery.h
@@ -9,9 +9,9 @@
 #include <memory>
 #include <set>
 
-#include "../json_fields.h"
-#include "http.h"
-#include "journal.h"
+#include "../core/journal.h"
+#include "../core/json_fields.h"
+#include "../net/http_connection.h"
 
 namespace grademux {
 
--- /dev/null
+++ b/src/doors/http/server.h
@@ -0,0 +1,58 @@
+// grademux: the HTTP/JSON door (HTTP/1.1, RFC 9112): messages put and asked for one by one, and batches of
+// them as lines. Requests of a connection are read while earlier ones are still open, and answered in order.
+// Every step of a connection has a time limit, and what it may hold is bounded.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <vector>
+
+#include "../door.h"
+
+namespace grademux {
+
+class HttpDoor : public Door {
+ public:
+  struct Limits {
+    std::size_t connections = 256;
+    std::size_t pipeline = 16;           // requests of a connection read and not answered
+    std::size_t batch_window = 64;       // lines of a batch read and not answered
+    std::size_t request_bytes = 131072;  // the body of a request, or one line of a batch
+    Micros longest_wait = 30'000'000;    // a client's "Prefer: wait" is cut to it
+    Micros idle = 60'000'000;            // a connection without a request is closed after it
+  };
+
+  // Binds `listen`; throws boost::system::system_error when it can't.
+  HttpDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
+  ~HttpDoor() override;
+  HttpDoor(const HttpDoor&) = delete;
+  HttpDoor& operator=(const HttpDoor&) = delete;
+
+  void start(Intake& core) override;
+  void drain(Leaving how) override;
+  std::size_t open() const override { return open_; }
+  std::size_t connections() const override { return sessions_.size(); }
+  boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
+  void setLimits(Limits limits) { limits_ = limits; }  // hold from the next request on
+
+ private:
+  struct Session;
+  void accept();
+  void retryAccept();
+  bool makeRoom();
+  void sweep();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint acceptor_address_;
+  boost::asio::steady_timer pause_, sweeper_;
+  Limits limits_;
+  Intake* core_ = nullptr;
+  std::set<std::shared_ptr<Session>> sessions_;
+  std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
+  std::size_t open_ = 0;
+  bool draining_ = false, removed_ = false;
+};
+
+}  // namespace grademux
--- a/src/net/resp.cpp
+++ b/src/doors/resp/parser.cpp
@@ -1,5 +1,5 @@
-// grademux: RESP2 requests; see resp.h.
-#include "resp.h"
+// grademux: RESP2 requests; see parser.h.
+#include "parser.h"
 
 namespace grademux {
 namespace {
--- a/src/net/clients.cpp
+++ b/src/doors/resp/server.cpp
@@ -1,5 +1,5 @@
-// grademux: the server for clients; see clients.h.
-#include "clients.h"
+// grademux: the server for clients; see server.h.
+#include "server.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -7,8 +7,8 @@
 #include <tuple>
 #include <vector>
 
-#include "endpoints.h"
-#include "resp.h"
+#include "../../core/clock.h"
+#include "parser.h"
 
 namespace grademux {
 
@@ -31,8 +31,6 @@
 constexpr Micros kNewcomer = 200'000;    // one that wants something has said so by then
 constexpr int kMostFaults = 12;          // useless requests in a row, answered ever more slowly
 constexpr Micros kRest = 10'000, kMostRest = 320'000;
-constexpr std::size_t kLongestId = 256;
-constexpr std::int64_t kLongestMs = 24LL * 3600 * 1000;
 
 bool wholeNumber(const std::string& s, std::int64_t& out) {
   if (s.empty() || s.size() > 18 || s.find_first_not_of("0123456789") != std::string::npos) return false;
@@ -41,7 +39,7 @@
 }
 
 // "c=notice,d=8000,..."; answers what is wrong, or nothing.
-const char* readFields(const std::string& list, Clients::Put& put) {
+const char* readFields(const std::string& list, Submission& put) {
   bool timed = false, addressed = false;
   for (std::size_t at = 0; at < list.size();) {
     const std::size_t end = std::min(list.find(',', at), list.size());
@@ -54,7 +52,7 @@
     if (name == "c") {
       put.message.message_class = value;
     } else if (name == "d") {
-      if (!wholeNumber(value, n) || n > kLongestMs) return "malformed d";
+      if (!wholeNumber(value, n) || n > kLongestLife / 1000) return "malformed d";
       put.may_last = n * 1000;
       timed = true;
     } else if (name == "dest") {
@@ -72,11 +70,21 @@
   return nullptr;
 }
 
-// Ids and keys go on as HTTP header values: guards against one that would end its header early.
-bool plain(const std::string& s) {
-  for (const char c : s)
-    if (c <= ' ' || c == 127) return false;
-  return true;
+// One RESP line without its end.
+std::string replyTo(const Answer& a) {
+  switch (a.kind) {
+    case Answer::Kind::accepted:
+      return "+OK";
+    case Answer::Kind::refused:
+      return a.pause > 0 ? "-BUSY " + std::to_string((a.pause + 999) / 1000) : std::string("-BUSY");
+    case Answer::Kind::rejected:
+      return "-ERR " + a.why;
+    case Answer::Kind::conflict:
+      return "-ERR the id is another message's";
+    case Answer::Kind::given_up:
+      break;
+  }
+  return "-ERR given up";
 }
 
 std::string upper(std::string s) {
@@ -87,7 +95,7 @@
 
 }  // namespace
 
-struct Clients::Session : std::enable_shared_from_this<Session> {
+struct RespDoor::Session : std::enable_shared_from_this<Session> {
   enum class Phase {
     idle,     // between requests
     partial,  // the next one has begun
@@ -96,9 +104,9 @@
     resting,  // was useless; what comes next waits
     leaving   // told of an error; the rest of its input is thrown away
   };
-  Session(Clients& c, tcp::socket s) : clients(c), socket(std::move(s)), rest(c.io_) {}
+  Session(RespDoor& c, tcp::socket s) : clients(c), socket(std::move(s)), rest(c.io_) {}
 
-  Clients& clients;
+  RespDoor& clients;
   tcp::socket socket;
   asio::steady_timer rest;
   std::string in, out;
@@ -157,20 +165,20 @@
     if (command == "PING") return answer(words.size() > 1 ? "-ERR wrong number of arguments" : "+PONG");
     if (command != "MSG.PUT") return answer("-ERR unknown command");
     if (words.size() != 5) return answer("-ERR wrong number of arguments");
-    Put put;
+    Submission put;
     if (words[1].find_first_not_of('0') != std::string::npos) put.message.order_key = words[1];
     put.message.id = words[2];
     put.message.body = std::move(words[4]);
-    if (put.message.id.empty() || put.message.id.size() > kLongestId || !plain(put.message.id))
-      return answer("-ERR malformed id");
+    if (put.message.id.empty() || !usableToken(put.message.id)) return answer("-ERR malformed id");
     if (const char* wrong = readFields(words[3], put)) return answer(std::string("-ERR ") + wrong);
-    if (put.message.idempotency_key.size() > kLongestId || !plain(put.message.idempotency_key))
-      return answer("-ERR malformed k");
+    if (!usableToken(put.message.idempotency_key)) return answer("-ERR malformed k");
+    put.door = "resp";
     enter(Phase::asked);
     ++clients.unanswered_;
-    clients.on_put_(std::move(put), [self = shared_from_this()](const std::string& reply) {
+    clients.core_->submit(std::move(put), [self = shared_from_this()](const Answer& a) {
+      if (!self->open) return;  // the door may be gone, too
       --self->clients.unanswered_;
-      if (self->open) self->answer(reply);
+      self->answer(replyTo(a));
     });
   }
 
@@ -259,6 +267,7 @@
   void close() {
     if (!open) return;
     open = false;
+    if (phase == Phase::asked) --clients.unanswered_;
     error_code ignored;
     rest.cancel();
     socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -267,25 +276,24 @@
   }
 };
 
-Clients::Clients(asio::io_context& io, const tcp::endpoint& listen, Limits limits, OnPut on_put)
-    : io_(io),
-      acceptor_(io),
-      pause_(io),
-      sweeper_(io),
-      limits_(limits),
-      on_put_(std::move(on_put)),
-      piece_(kPiece) {
+RespDoor::RespDoor(asio::io_context& io, const tcp::endpoint& listen, Limits limits)
+    : io_(io), acceptor_(io), pause_(io), sweeper_(io), limits_(limits), piece_(kPiece) {
   acceptor_.open(listen.protocol());
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   // What the kernel buffers counts as this sender's memory: a client that sends 60 MB must not fill it.
   acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceive));
   acceptor_.bind(listen);
+  acceptor_address_ = acceptor_.local_endpoint();
+}
+
+void RespDoor::start(Intake& core) {
+  core_ = &core;
   acceptor_.listen();
   accept();
   sweep();
 }
 
-Clients::~Clients() {
+RespDoor::~RespDoor() {
   const auto all = sessions_;
   for (const auto& s : all) {
     s->open = false;
@@ -294,25 +302,24 @@
   }
 }
 
-unsigned short Clients::port() const { return acceptor_.local_endpoint().port(); }
-
 // At the limit the one that is least in use makes room. Guards against idle, silent and useless connections
 // that leave good clients waiting in the backlog, and against running out of descriptors, which the calls to
 // endpoints need too.
-bool Clients::makeRoom() {
-  if (sessions_.size() < limits_.all) return true;
+bool RespDoor::makeRoom() {
   const Micros now = monotonicNow();
-  std::shared_ptr<Session> least;
-  for (const auto& s : sessions_)
-    if (!least || s->rank(now) < least->rank(now)) least = s;
-  if (!least || least->rank(now).first >= 8) return false;
-  least->close();
+  while (sessions_.size() >= limits_.all) {
+    std::shared_ptr<Session> least;
+    for (const auto& s : sessions_)
+      if (!least || s->rank(now) < least->rank(now)) least = s;
+    if (!least || least->rank(now).first >= 8) return false;
+    least->close();
+  }
   return true;
 }
 
 // Those that hand messages in may hold so many connections altogether, idle ones too: beyond that they can't
 // ask. So the one that has idled longest is ended while there is still room for the next.
-void Clients::limitProven() {
+void RespDoor::limitProven() {
   std::size_t proven = 0;
   std::shared_ptr<Session> longest;
   for (const auto& s : sessions_) {
@@ -328,9 +335,9 @@
 
 // Guards against clients that ask once and keep their connection: those who hold it have only so many, too,
 // and what idles here is missing there.
-bool Clients::crowded() const { return kCrowd * sessions_.size() > limits_.all; }
+bool RespDoor::crowded() const { return kCrowd * sessions_.size() > limits_.all; }
 
-void Clients::accept() {
+void RespDoor::accept() {
   if (accepting_) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
@@ -345,7 +352,7 @@
   });
 }
 
-void Clients::admit() {
+void RespDoor::admit() {
   if (!makeRoom()) return retryAccept();  // each has a request open, which is a matter of milliseconds
   limitProven();
   const auto session = std::move(newcomer_);
@@ -355,14 +362,14 @@
   accept();
 }
 
-void Clients::retryAccept() {
+void RespDoor::retryAccept() {
   pause_.expires_after(std::chrono::milliseconds(20));
   pause_.async_wait([this](error_code stopped) {
-    if (!stopped) newcomer_ ? admit() : accept();
+    if (!stopped && !removed_) newcomer_ ? admit() : accept();
   });
 }
 
-void Clients::sweep() {
+void RespDoor::sweep() {
   const Micros now = monotonicNow();
   const auto all = sessions_;
   for (const auto& s : all)
@@ -373,10 +380,17 @@
   });
 }
 
-void Clients::ended(const std::shared_ptr<Session>& s) { sessions_.erase(s); }
+void RespDoor::ended(const std::shared_ptr<Session>& s) { sessions_.erase(s); }
 
-void Clients::drain() {
+void RespDoor::drain(Leaving how) {
   draining_ = true;
+  if (how == Leaving::removed) {
+    removed_ = true;
+    error_code ignored;
+    acceptor_.close(ignored);
+    pause_.cancel();
+    newcomer_ = nullptr;
+  }
   const auto all = sessions_;
   for (const auto& s : all) {
     error_code e;
--- a/src/net/clients.h
+++ b/src/doors/resp/server.h
@@ -11,34 +11,29 @@
 #include <string>
 #include <vector>
 
-#include "journal.h"
+#include "../door.h"
 
 namespace grademux {
 
-class Clients {
+class RespDoor : public Door {
  public:
-  using Reply = std::function<void(const std::string&)>;  // one RESP line without its end, called once
-  // What a client hands in; its time is still a span. Answers by the reply, now or later.
-  struct Put {
-    TakenOn message;
-    Micros may_last = 0;
-  };
   // Connections altogether, and those among them that have handed a message in.
   struct Limits {
     std::size_t all = 1, proven = 1;
   };
-  using OnPut = std::function<void(Put, Reply)>;
 
-  Clients(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
-          OnPut on_put);  // throws when it can't listen
-  ~Clients();
-  Clients(const Clients&) = delete;
-  Clients& operator=(const Clients&) = delete;
+  // Binds `listen`; throws boost::system::system_error when it can't.
+  RespDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
+  ~RespDoor() override;
+  RespDoor(const RespDoor&) = delete;
+  RespDoor& operator=(const RespDoor&) = delete;
 
-  // Closes connections between requests; those that still come or are in one are closed once answered.
-  void drain();
-  std::size_t unanswered() const { return unanswered_; }
-  unsigned short port() const;
+  void start(Intake& core) override;
+  void drain(Leaving how) override;
+  std::size_t open() const override { return unanswered_; }
+  std::size_t connections() const override { return sessions_.size(); }
+  boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
+  void setLimits(Limits limits) { limits_ = limits; }  // what is over them ends as others come
 
  private:
   struct Session;
@@ -53,14 +48,15 @@
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint acceptor_address_;
   boost::asio::steady_timer pause_, sweeper_;
   Limits limits_;
-  OnPut on_put_;
+  Intake* core_ = nullptr;
   std::set<std::shared_ptr<Session>> sessions_;
   std::shared_ptr<Session> newcomer_;  // accepted, waits for room
   std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
   std::size_t unanswered_ = 0;
-  bool accepting_ = false, draining_ = false;
+  bool accepting_ = false, draining_ = false, removed_ = false;
 };
 
 }  // namespace grademux
--- a/src/net/http.cpp
+++ b/src/net/http_connection.cpp
@@ -1,11 +1,10 @@
-// grademux: HTTP connections; see http.h.
-#include "http.h"
+// grademux: HTTP connections; see http_connection.h.
+#include "http_connection.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <optional>
-#include <stdexcept>
 
 namespace grademux {
 
@@ -249,19 +248,4 @@
   return e == asio::error::would_block;
 }
 
-tcp::endpoint parseAddress(const std::string& address) {
-  const auto colon = address.rfind(':');
-  error_code e;
-  if (colon != std::string::npos && colon + 1 < address.size()) {
-    std::string host = address.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
-    const auto ip = asio::ip::make_address(host, e);
-    const std::string port = address.substr(colon + 1);
-    const bool digits = port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
-    const int number = digits ? std::stoi(port) : -1;
-    if (!e && number >= 0 && number <= 65535) return {ip, static_cast<unsigned short>(number)};
-  }
-  throw std::invalid_argument("not an address with a port: " + address);
-}
-
 }  // namespace grademux
--- a/src/net/http.h
+++ b/src/net/http_connection.h
@@ -55,6 +55,4 @@
   std::shared_ptr<State> state_;
 };
 
-tcp::endpoint parseAddress(const std::string& address);  // "10.0.0.4:6379"; throws std::invalid_argument
-
 }  // namespace grademux
--- a/src/simhost.cpp
+++ b/src/sim/simhost.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <stdexcept>
 
-#include "settings.h"
+#include "../core/settings.h"
 
 using namespace grademux;
 
--- a/tests/net_endpoints_test.cpp
+++ b/tests/carriers/http_carrier_test.cpp
@@ -1,8 +1,9 @@
 // Calls over loopback sockets: each row of the protocol's table of outcomes, and the pool of connections.
+#include "../../src/carriers/http/http_carrier.h"
+
 #include <boost/asio/io_context.hpp>
 
-#include "../src/net/endpoints.h"
-#include "net/loopback.h"
+#include "../support/loopback.h"
 
 namespace grademux {
 namespace {
@@ -41,7 +42,7 @@
 
   boost::asio::io_context io;
   std::vector<Outcome> outcomes;
-  Endpoints endpoints;
+  HttpCarrier endpoints;
 };
 
 Outcome outcomeOf(const Act& act, Micros timeout = 60'000'000) {
@@ -147,7 +148,7 @@
         Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
     [](const auto& i) { return std::string(i.param.name); });
 
-TEST(Endpoints, SilenceEndsInATimeOutAndClosesTheConnection) {
+TEST(HttpCarrier, SilenceEndsInATimeOutAndClosesTheConnection) {
   Server s([](const Seen&) { return Act{}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -157,7 +158,7 @@
   EXPECT_EQ(0u, p.endpoints.idle());
 }
 
-TEST(Endpoints, ARefusedConnectionNeverRan) {
+TEST(HttpCarrier, ARefusedConnectionNeverRan) {
   Pool p;
   p.endpoints.address("e", loopback::closedAddress());
   EXPECT_EQ(Result::connect_failed, p.call("m").result);
@@ -166,7 +167,7 @@
 }
 
 // A call is written whole and once: id, key and body unchanged, and how long the sender will wait.
-TEST(Endpoints, ACallCarriesTheMessageUnchanged) {
+TEST(HttpCarrier, ACallCarriesTheMessageUnchanged) {
   Server s([](const Seen&) { return Act{answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -184,7 +185,7 @@
 }
 
 // Risk: a report that can't be read is taken for zeros, which say that there is no limit.
-TEST(Endpoints, AReportThatCantBeReadIsNone) {
+TEST(HttpCarrier, AReportThatCantBeReadIsNone) {
   for (const char* told : {"", "x0", "x0=,x1=", "x0=0.4", "x0=0.4,x1=25,", "x0=0.4,x1=2\x01", "x0=nan,x1=inf",
                            "x0=0.4;x1=25", "x0=0.4,x1=99999999999"}) {
     Server s([&](const Seen&) { return Act{answer("200 OK", std::string("X-Pressure: ") + told + "\r\n")}; });
@@ -195,7 +196,7 @@
 }
 
 // Risk: what comes behind a good answer is read as the answer to the next call on that connection.
-TEST(Endpoints, WhatComesBehindAnAnswerIsNotTheNextOne) {
+TEST(HttpCarrier, WhatComesBehindAnAnswerIsNotTheNextOne) {
   std::atomic<int> calls{0};
   Server s([&](const Seen&) {
     return ++calls == 1 ? Act{answer("200 OK") + answer("200 OK")} : Act{answer("503 Full")};
@@ -208,7 +209,7 @@
 }
 
 // Risk: addresses and connections of endpoints that are gone are kept for good.
-TEST(Endpoints, WhatIsGoneIsForgotten) {
+TEST(HttpCarrier, WhatIsGoneIsForgotten) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -219,7 +220,7 @@
   EXPECT_EQ(Result::connect_failed, p.call("b").result);
 }
 
-TEST(Endpoints, ConnectionsAreReusedAndClosedOnDemand) {
+TEST(HttpCarrier, ConnectionsAreReusedAndClosedOnDemand) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -234,7 +235,7 @@
 
 // Guards against a request that is written to a connection the endpoint has closed: it would end as a reset,
 // and an unsafe message would be lost by it.
-TEST(Endpoints, AConnectionClosedByTheEndpointIsNotWrittenTo) {
+TEST(HttpCarrier, AConnectionClosedByTheEndpointIsNotWrittenTo) {
   Server s([](const Seen&) { return Act{answer("200 OK"), true}; });  // closes, without saying so
   Pool p;
   p.endpoints.address("e", s.address());
@@ -245,7 +246,7 @@
   }
 }
 
-TEST(Endpoints, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
+TEST(HttpCarrier, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p(100'000);
   p.endpoints.address("e", s.address());
@@ -259,7 +260,7 @@
   EXPECT_EQ(0u, p.endpoints.idle());
 }
 
-TEST(Endpoints, ACallIsCalledOffByClosingAndHasOneOutcome) {
+TEST(HttpCarrier, ACallIsCalledOffByClosingAndHasOneOutcome) {
   Server s([](const Seen&) { return Act{}; });
   Pool p;
   p.endpoints.address("e", s.address());
--- a/tests/net_journal_test.cpp
+++ b/tests/core/journal_test.cpp
@@ -1,12 +1,13 @@
 // The journal on files alone: what a killed process leaves, torn and damaged records, a full budget.
+#include "../../src/core/journal.h"
+
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 
 #include <filesystem>
 #include <fstream>
 
-#include "../src/net/journal.h"
-#include "net/loopback.h"
+#include "../support/loopback.h"
 
 namespace grademux {
 namespace {
@@ -42,8 +43,8 @@
     j.attempted("a", {"e1", 55, false});
     j.attempted("a", {"e2", 66, false});
     j.neverRan("a", 0);
-    j.over("c");
-    j.noticeOwed("b", {true, 250});
+    j.over("c", {});
+    j.noticeOwed("b", {true, 250, 0});
     j.ailing({"", 7, false, 11});
     j.ailing({"", 7, true, 99});
     j.listed("{\"index\":4}");
@@ -150,7 +151,7 @@
     if (!j.reserve(m)) {
       ++refused;
       ASSERT_FALSE(open.empty());
-      j.over(open.front());
+      j.drop(open.front());
       open.erase(open.begin());
     } else {
       ++taken;
--- a/tests/settings_test.cpp
+++ b/tests/core/settings_test.cpp
@@ -1,7 +1,7 @@
 // Settings that cannot be.
 #include <algorithm>
 
-#include "rig.h"
+#include "../decision/rig.h"
 
 using namespace grademux;
 
--- a/tests/net_reload_test.cpp
+++ b/tests/daemon/reload_test.cpp
@@ -1,5 +1,5 @@
 // New configurations while the program runs: SIGHUP beside messages, bad files and SIGTERM.
-#include "net/loopback.h"
+#include "../support/loopback.h"
 
 namespace grademux {
 namespace {
--- a/tests/net_sender_test.cpp
+++ b/tests/daemon/sender_test.cpp
@@ -1,7 +1,7 @@
 // The whole program as a child process: clients, endpoints and discovery over loopback sockets, kills
 // between.
-#include "../src/net/journal.h"
-#include "net/loopback.h"
+#include "../../src/core/journal.h"
+#include "../support/loopback.h"
 
 namespace grademux {
 namespace {
--- a/tests/net_clients_test.cpp
+++ b/tests/doors/resp_server_test.cpp
@@ -1,6 +1,6 @@
 // Bad clients over loopback sockets: each is told of an error or closed, and takes nothing from the good
 // ones.
-#include "net/loopback.h"
+#include "../support/loopback.h"
 
 namespace grademux {
 namespace {
--- a/tests/simhost_test.cpp
+++ b/tests/sim/simhost_test.cpp
@@ -10,7 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "rig.h"
+#include "../decision/rig.h"
 
 using nlohmann::json;
 
