Tests of both doors, the admission chain and the daemon file; a door names its address

Need: the HTTP door, the chain and the daemon file had no tests of the failures that they are meant for.

All doors bind in one place that names the address in its error.

--- a/src/daemon/doors.cpp
+++ b/src/daemon/doors.cpp
@@ -2,8 +2,6 @@
 #include "doors.h"
 
 #include <algorithm>
-#include <sstream>
-#include <stdexcept>
 
 #include "../core/clock.h"
 #include "../doors/resp/server.h"
@@ -25,14 +23,8 @@
 }  // namespace
 
 std::unique_ptr<Door> Doors::make(const DoorSpec& s) {
-  try {
-    if (s.kind == DoorKind::resp) return std::make_unique<RespDoor>(io_, s.listen, respLimits(s));
-    return std::make_unique<HttpDoor>(io_, s.listen, s.limits);
-  } catch (const std::exception& e) {
-    std::ostringstream what;
-    what << "door at " << s.listen << ": " << e.what();
-    throw std::runtime_error(what.str());
-  }
+  if (s.kind == DoorKind::resp) return std::make_unique<RespDoor>(io_, s.listen, respLimits(s));
+  return std::make_unique<HttpDoor>(io_, s.listen, s.limits);
 }
 
 void Doors::bind(const std::vector<DoorSpec>& specs) {
--- a/src/doors/http/server.cpp
+++ b/src/doors/http/server.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "../../core/clock.h"
+#include "../listener.h"
 #include "messages.h"
 
 namespace grademux {
@@ -586,12 +587,8 @@
 
 HttpDoor::HttpDoor(asio::io_context& io, const tcp::endpoint& listen, Limits limits)
     : io_(io), acceptor_(io), pause_(io), sweeper_(io), limits_(limits), piece_(kPiece) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  // What the kernel buffers counts as this sender's memory.
-  acceptor_.set_option(asio::socket_base::receive_buffer_size(kKernelBuffer));
+  bindDoor(acceptor_, listen);
   acceptor_.set_option(asio::socket_base::send_buffer_size(kKernelBuffer));
-  acceptor_.bind(listen);
   acceptor_address_ = acceptor_.local_endpoint();
 }
 
--- a/src/doors/http/server.h
+++ b/src/doors/http/server.h
@@ -23,7 +23,7 @@
     Micros idle = 60'000'000;            // a connection without a request is closed after it
   };
 
-  // Binds `listen`; throws boost::system::system_error when it can't.
+  // Binds `listen`; throws std::runtime_error when it can't.
   HttpDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
   ~HttpDoor() override;
   HttpDoor(const HttpDoor&) = delete;
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../../core/clock.h"
+#include "../listener.h"
 #include "parser.h"
 
 namespace grademux {
@@ -19,7 +20,6 @@
 namespace {
 
 constexpr std::size_t kPiece = 16384;
-constexpr int kReceive = 32768;
 constexpr std::size_t kDiscard = 1u << 20;  // of a malformed request's rest
 // A connection is owed an error or its end within 3 s. Limits on: the first byte, a whole request from its
 // first byte on, a reply's way out, and the discard after an error.
@@ -278,11 +278,7 @@
 
 RespDoor::RespDoor(asio::io_context& io, const tcp::endpoint& listen, Limits limits)
     : io_(io), acceptor_(io), pause_(io), sweeper_(io), limits_(limits), piece_(kPiece) {
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  // What the kernel buffers counts as this sender's memory: a client that sends 60 MB must not fill it.
-  acceptor_.set_option(asio::socket_base::receive_buffer_size(kReceive));
-  acceptor_.bind(listen);
+  bindDoor(acceptor_, listen);
   acceptor_address_ = acceptor_.local_endpoint();
 }
 
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -22,7 +22,7 @@
     std::size_t all = 1, proven = 1;
   };
 
-  // Binds `listen`; throws boost::system::system_error when it can't.
+  // Binds `listen`; throws std::runtime_error when it can't.
   RespDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
   ~RespDoor() override;
   RespDoor(const RespDoor&) = delete;
--- a/tests/core/journal_test.cpp
+++ b/tests/core/journal_test.cpp
@@ -168,6 +168,68 @@
   EXPECT_EQ(open.size(), again.recovered().entries.size());
 }
 
+// Risk: an id whose message ended before a restart is taken on anew, and runs twice.
+TEST(Journal, RemembersEndsOverRestartAndCompactionUntilTheirTime) {
+  TempFolder t;
+  const Past delivered{{Ending::delivered, 5, 0}, 77, 1000}, back{{Ending::handed_back, 6, 250}, 78, 2000};
+  {
+    Journal j(t.path(), 3'000'000);
+    for (const char* id : {"a", "b", "c"}) j.accepted(message(id));
+    j.over("a", delivered);
+    j.noticeOwed("b", {true, 1, 9});
+    j.drop("c");
+    ASSERT_TRUE(j.flush());
+  }
+  {
+    Journal j(t.path(), 3'000'000);
+    ASSERT_EQ(1u, j.recovered().entries.size());
+    EXPECT_EQ(9, j.recovered().entries[0].notice.at);
+    ASSERT_NE(nullptr, j.past("a"));
+    EXPECT_EQ(77u, j.past("a")->digest);
+    EXPECT_EQ(nullptr, j.past("b"));  // not before its notice is told
+    EXPECT_EQ(nullptr, j.past("c"));
+    j.over("b", back);
+    for (int i = 0; i < 3000; ++i) {  // until it has been compacted
+      j.accepted(message("x", 1000));
+      j.drop("x");
+      ASSERT_TRUE(j.flush());
+    }
+    EXPECT_LT(std::filesystem::file_size(t.path() + "/journal"), 1'500'000u);
+  }
+  Journal j(t.path(), 3'000'000);
+  ASSERT_NE(nullptr, j.past("b"));
+  EXPECT_EQ(Ending::handed_back, j.past("b")->end.how);
+  EXPECT_EQ(250, j.past("b")->end.pause);
+  j.forgetPast(1500);
+  EXPECT_EQ(nullptr, j.past("a"));
+  EXPECT_NE(nullptr, j.past("b"));
+  j.forgetPast(2000);
+  EXPECT_EQ(nullptr, j.past("b"));
+}
+
+// What is remembered of ends is part of the budget: it is never over it, and room comes back with time.
+TEST(Journal, EndsThatAreRememberedStayInsideTheBudget) {
+  TempFolder t;
+  const std::uint64_t budget = 400'000;
+  Journal j(t.path(), budget);
+  int taken = 0, refused = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    const TakenOn m = message("m" + std::to_string(i), 30);
+    j.forgetPast(i);
+    if (!j.reserve(m)) {
+      ++refused;
+    } else {
+      ++taken;
+      j.accepted(m);
+      j.over(m.id, {{}, 1, i + 5000});
+    }
+    ASSERT_TRUE(j.flush()) << i;
+    if (i % 50 == 0) ASSERT_LE(onDisk(t.path()), budget);
+  }
+  EXPECT_GT(taken, 5000);
+  EXPECT_GT(refused, 100);
+}
+
 TEST(Journal, FailsPlainlyWhereItCannotBeKept) {
   EXPECT_THROW(Journal("/nonexistent/folder", 3'000'000), std::runtime_error);
 }
--- /dev/null
+++ b/tests/daemon/daemon_file_test.cpp
@@ -0,0 +1,127 @@
+// The daemon file: every mistake is a line with its place and what was expected; the command line says so.
+#include "../../src/daemon/daemon_file.h"
+
+#include "../support/loopback.h"
+
+namespace grademux {
+namespace {
+
+std::vector<std::string> mistakesOf(const std::string& text) {
+  std::vector<Mistake> mistakes;
+  readDaemonText(text, "f.toml", mistakes);
+  std::vector<std::string> lines;
+  for (const Mistake& m : mistakes) lines.push_back(m.in("f.toml"));
+  return lines;
+}
+
+TEST(DaemonFile, AGoodOneIsReadWithItsDefaults) {
+  std::vector<Mistake> mistakes;
+  const DaemonFile f = readDaemonText(R"(
+[[door]]
+kind = "http"
+listen = "127.0.0.1:8080"
+max_wait_s = 7
+[[door]]
+kind = "resp"
+listen = "[::1]:6380"
+max_connections = 9
+)",
+                                      "f", mistakes);
+  ASSERT_TRUE(mistakes.empty()) << mistakes[0].what;
+  ASSERT_EQ(2u, f.doors.size());
+  EXPECT_EQ(DoorKind::http, f.doors[0].kind);
+  EXPECT_EQ(8080, f.doors[0].listen.port());
+  EXPECT_EQ(7'000'000, f.doors[0].limits.longest_wait);
+  EXPECT_EQ(128u, f.doors[0].limits.connections);
+  EXPECT_EQ(DoorKind::resp, f.doors[1].kind);
+  EXPECT_EQ(137, f.connections());
+}
+
+TEST(DaemonFile, TheExampleThatComesWithItIsGood) {
+  std::vector<Mistake> mistakes;
+  const DaemonFile f = readDaemonFile(GRADEMUX_SOURCE "/deploy/daemon.toml", mistakes);
+  for (const Mistake& m : mistakes) ADD_FAILURE() << m.in("deploy/daemon.toml");
+  EXPECT_FALSE(f.doors.empty());
+}
+
+struct Case {
+  const char *name, *text, *expected;
+  friend void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
+};
+class Mistakes : public ::testing::TestWithParam<Case> {};
+
+TEST_P(Mistakes, AreNamedWithTheirPlace) {
+  const auto lines = mistakesOf(GetParam().text);
+  ASSERT_EQ(1u, lines.size()) << (lines.empty() ? "" : lines[1]);
+  EXPECT_EQ(0u, lines[0].find(GetParam().expected)) << lines[0];
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table, Mistakes,
+    ::testing::Values(
+        Case{"syntax", "[[door]\n", "f.toml:1:8: TOML is expected"},
+        Case{"unknown_table", "[doors]\n", "f.toml:1:2: unknown key doors"},
+        Case{"unknown_key", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:1\"\n  colour = 3\n",
+             "f.toml:4:3: unknown key colour"},
+        Case{"http_key_at_resp", "[[door]]\nkind = \"resp\"\nlisten = \"127.0.0.1:1\"\nidle_s = 3\n",
+             "f.toml:4:1: unknown key idle_s in a door of kind resp"},
+        Case{"wrong_type", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:1\"\nmax_wait_s = \"7\"\n",
+             "f.toml:4:14: door.max_wait_s: a whole number from 0 to 3600"},
+        Case{"fraction", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:1\"\nidle_s = 2.5\n",
+             "f.toml:4:10: door.idle_s"},
+        Case{"out_of_range", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:1\"\nmax_connections = 0\n",
+             "f.toml:4:19: door.max_connections: a whole number from 1"},
+        Case{"unknown_kind", "[[door]]\nkind = \"ftp\"\nlisten = \"127.0.0.1:1\"\n",
+             "f.toml:2:8: door.kind: \"http\" or \"resp\" is expected"},
+        Case{"no_kind", "[[door]]\nlisten = \"127.0.0.1:1\"\n", "f.toml:1:"},
+        Case{"no_port", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1\"\n", "f.toml:3:10: door.listen"},
+        Case{"port_0", "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:0\"\n", "f.toml:3:10: door.listen"},
+        Case{"no_listen", "[[door]]\nkind = \"http\"\n", "f.toml:1:"},
+        Case{"not_tables", "door = [1, 2]\n", "f.toml:1:8: door: tables are expected"},
+        Case{"one_table", "[door]\nkind = \"http\"\n", "f.toml:1:1: door: tables are expected"},
+        Case{"one_address",
+             "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:9\"\n[[door]]\nkind = \"resp\"\n"
+             "listen = \"127.0.0.1:9\"\n",
+             "f.toml:6:10: door.listen: an address of its own"},
+        Case{"any_address",
+             "[[door]]\nkind = \"http\"\nlisten = \"0.0.0.0:9\"\n[[door]]\nkind = \"resp\"\n"
+             "listen = \"127.0.0.1:9\"\n",
+             "f.toml:6:10: door.listen: an address of its own"}),
+    [](const auto& p) { return std::string(p.param.name); });
+
+TEST(DaemonFile, AllMistakesAreToldInOrder) {
+  const auto lines = mistakesOf("a = 1\n[[door]]\nkind = \"x\"\nlisten = 5\nidle_s = 0\n[b]\n");
+  ASSERT_EQ(5u, lines.size());
+  for (std::size_t i = 0; i < lines.size(); ++i) {
+    const int line[] = {1, 3, 4, 5, 6};
+    EXPECT_EQ(0u, lines[i].find("f.toml:" + std::to_string(line[i]) + ":")) << lines[i];
+  }
+}
+
+int statusOf(const std::vector<std::string>& arguments, const std::string& log) {
+  int status = 0;
+  const pid_t pid = loopback::Program::spawn("", "", {}, arguments, log);
+  EXPECT_GT(::waitpid(pid, &status, 0), 0);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+TEST(CommandLine, CheckAnswersByStatusAndLines) {
+  loopback::TempFolder t;
+  const std::string path = t.path() + "/d.toml", log = t.path() + "/log";
+  std::ofstream(path) << "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:8080\"\n";
+  EXPECT_EQ(0, statusOf({"check", path}, log));
+  std::ofstream(path) << "[[door]]\nkind = 1\nlisten = 2\n";
+  EXPECT_EQ(2, statusOf({"check", path}, log));
+  EXPECT_EQ(2, statusOf({"--daemon", path}, log));
+  EXPECT_EQ(2, statusOf({"check", t.path() + "/none"}, log));
+  EXPECT_EQ(2, statusOf({"check"}, log));
+  EXPECT_EQ(2, statusOf({"--nonsense"}, log));
+  EXPECT_EQ(0, statusOf({"--help"}, log));
+  std::ifstream f(log);
+  const std::string all{std::istreambuf_iterator<char>(f), {}};
+  EXPECT_NE(std::string::npos, all.find(path + ":2:8: door.kind")) << all;
+  EXPECT_NE(std::string::npos, all.find(path + ":3:10: door.listen"));
+}
+
+}  // namespace
+}  // namespace grademux
--- /dev/null
+++ b/tests/doors/http_messages_test.cpp
@@ -0,0 +1,157 @@
+// What requests and answers of the HTTP door mean: every field, every mistake, no sockets.
+#include <gtest/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "../../src/doors/http/messages.h"
+
+namespace grademux::http_door {
+namespace {
+
+using nlohmann::json;
+
+const Submission& good(const std::variant<Submission, Problem>& v) {
+  static const Submission none;
+  if (const auto* p = std::get_if<Problem>(&v)) {
+    ADD_FAILURE() << p->detail;
+    return none;
+  }
+  return std::get<Submission>(v);
+}
+int wrong(const std::variant<Submission, Problem>& v) {
+  const auto* p = std::get_if<Problem>(&v);
+  return p ? p->status : 0;
+}
+
+TEST(HttpMessages, ADocumentIsRead) {
+  const auto v = readMessage("m", {{"content-type", "application/json; charset=utf-8"}},
+                             R"({"id":"m","class":"payment","destination":7,"deadline_ms":1500,"key":"k",
+                                 "order_key":"o","repeat":true,"body":"h\u00e9"})");
+  const Submission& s = good(v);
+  EXPECT_EQ("m", s.message.id);
+  EXPECT_EQ("payment", s.message.message_class);
+  EXPECT_EQ(7, s.message.destination);
+  EXPECT_EQ(1'500'000, s.may_last);
+  EXPECT_EQ("k", s.message.idempotency_key);
+  EXPECT_EQ("o", s.message.order_key);
+  EXPECT_TRUE(s.message.repeat);
+  EXPECT_EQ("h\xc3\xa9", s.message.body);
+}
+
+TEST(HttpMessages, BytesComeAsBase64OrRaw) {
+  const std::string bytes("\0\r\n\xff", 4);
+  EXPECT_EQ(
+      bytes,
+      good(readMessage("m", {}, R"({"class":"c","destination":7,"deadline_ms":1,"body_base64":"AA0K/w=="})"))
+          .message.body);
+  const Fields fields{{"grademux-class", "c"},  {"grademux-destination", "7"}, {"grademux-deadline-ms", "90"},
+                      {"idempotency-key", "k"}, {"grademux-order-key", "o"},   {"grademux-repeat", "true"}};
+  const auto raw = readMessage("m", fields, bytes);
+  EXPECT_EQ(bytes, good(raw).message.body);
+  EXPECT_EQ(90'000, good(raw).may_last);
+  EXPECT_EQ("k", good(raw).message.idempotency_key);
+  EXPECT_EQ("o", good(raw).message.order_key);
+  EXPECT_TRUE(good(raw).message.repeat);
+}
+
+TEST(HttpMessages, WhatCantBeUsedIsAProblem) {
+  auto document = [](const char* name, const json& value) {
+    json o{{"class", "c"}, {"destination", 7}, {"deadline_ms", 1}};
+    value.is_null() ? (void)o.erase(name) : (void)(o[name] = value);
+    return wrong(readMessage("m", {}, o.dump()));
+  };
+  EXPECT_EQ(0, document("body", ""));
+  EXPECT_EQ(400, document("class", nullptr));
+  EXPECT_EQ(400, document("class", 5));
+  EXPECT_EQ(400, document("class", ""));
+  EXPECT_EQ(400, document("destination", "7"));
+  EXPECT_EQ(400, document("destination", 7.5));
+  EXPECT_EQ(400, document("destination", 18446744073709551615ull));
+  EXPECT_EQ(400, document("deadline_ms", 0));
+  EXPECT_EQ(400, document("deadline_ms", -1));
+  EXPECT_EQ(400, document("deadline_ms", 86'400'001));
+  EXPECT_EQ(400, document("deadline_ms", nullptr));
+  EXPECT_EQ(400, document("key", "two words"));
+  EXPECT_EQ(400, document("key", std::string(257, 'k')));
+  EXPECT_EQ(400, document("key", "\r\nX-Txn: other"));
+  EXPECT_EQ(400, document("order_key", std::string(257, 'k')));
+  EXPECT_EQ(400, document("repeat", "yes"));
+  EXPECT_EQ(400, document("surprise", 1));
+  EXPECT_EQ(400, document("id", "another"));
+  for (const char* b64 : {"A", "AA=A", "====", "AAAA=", "AA A", "AA-_", "A==="})
+    EXPECT_EQ(400, document("body_base64", b64)) << b64;
+  EXPECT_EQ(413, document("body", std::string(65537, 'x')));
+  EXPECT_EQ(0, document("body", std::string(65536, 'x')));
+  EXPECT_EQ(
+      400, wrong(readMessage("m", {},
+                             R"({"class":"c","destination":7,"deadline_ms":1,"body":"","body_base64":""})")));
+  for (const char* body : {"", "[]", "{", "null", "{\"class\":\"\xff\"}"})
+    EXPECT_EQ(400, wrong(readMessage("m", {}, body))) << body;
+  EXPECT_EQ(415, wrong(readMessage("m", {{"content-type", "text/plain"}}, "x")));
+  const Fields raw{{"grademux-class", "c"}, {"grademux-destination", "7"}, {"grademux-deadline-ms", "soon"}};
+  EXPECT_EQ(400, wrong(readMessage("m", raw, "x")));
+}
+
+TEST(HttpMessages, LinesCarryTheirId) {
+  std::string id;
+  EXPECT_EQ("b1",
+            good(readLine(R"({"id":"b1","class":"c","destination":7,"deadline_ms":1})", id)).message.id);
+  EXPECT_EQ("b1", id);
+  EXPECT_EQ(400, wrong(readLine(R"({"class":"c","destination":7,"deadline_ms":1})", id)));
+  EXPECT_EQ(400, wrong(readLine(R"({"id":"","class":"c","destination":7,"deadline_ms":1})", id)));
+  EXPECT_EQ(400, wrong(readLine("rubbish", id)));
+}
+
+TEST(HttpMessages, TargetsAreReadStrictly) {
+  auto id = [](const char* target) {
+    const auto t = readTarget(target);
+    return std::holds_alternative<Target>(t) ? std::get<Target>(t).id : "";
+  };
+  EXPECT_EQ("a1", id("/v1/messages/a1"));
+  EXPECT_EQ("a/b%", id("/v1/messages/a%2Fb%25"));
+  for (const char* t :
+       {"/v1/messages/", "/v1/messages", "/", "", "/v2/messages/a", "/v1/messages/a?x=1", "/v1/messages/a%2",
+        "/v1/messages/a%zz", "/v1/messages/a%0d%0a", "/v1/messages/a%20b"})
+    EXPECT_TRUE(std::holds_alternative<Problem>(readTarget(t))) << t;
+  EXPECT_EQ(Resource::batch, std::get<Target>(readTarget("/v1/messages:batch")).resource);
+}
+
+TEST(HttpMessages, PreferencesAreReadAsRfc7240HasThem) {
+  EXPECT_EQ(10, waitAsked("wait=10"));
+  EXPECT_EQ(10, waitAsked("respond-async, wait=10"));
+  EXPECT_EQ(0, waitAsked("wait=0"));
+  for (const char* p : {"", "wait", "wait=", "wait=-1", "wait=1.5", "waits=3", "wait=99999999999999999999"})
+    EXPECT_FALSE(waitAsked(p)) << p;
+}
+
+TEST(HttpMessages, ATimeToComeBackIsNeverTooEarly) {
+  const Response r = answerOf("m", Answer::refused(1'200'001));
+  EXPECT_EQ(429, r.status);
+  EXPECT_EQ("application/problem+json", r.type);
+  EXPECT_EQ(1201, json::parse(r.body)["retry_after_ms"]);
+  ASSERT_EQ(1u, r.fields.size());
+  EXPECT_EQ("2", r.fields[0].second);  // whole seconds, upwards
+  EXPECT_TRUE(answerOf("m", Answer::refused(0)).fields.empty());
+}
+
+TEST(HttpMessages, EachAnswerHasItsStatusAndDocument) {
+  EXPECT_EQ(202, answerOf("m", Answer::accepted()).status);
+  EXPECT_EQ(422, answerOf("m", Answer::rejected("unknown-class", "x")).status);
+  EXPECT_EQ("urn:grademux:problem:unknown-class",
+            json::parse(answerOf("m", Answer::rejected("unknown-class", "x")).body)["type"]);
+  EXPECT_EQ(409, answerOf("m", {Answer::Kind::conflict, 0, {}, {}, {}}).status);
+  EXPECT_EQ(422, answerOf("m", {Answer::Kind::given_up, 0, {}, {}, {}}).status);
+  EXPECT_EQ(503, draining().status);
+  EXPECT_EQ(404, statusOf("m", {}).status);
+  const Status ended{Status::State::ended, {Ending::handed_back, 5'000'000, 250'000}};
+  const json o = json::parse(statusOf("m", ended).body);
+  EXPECT_EQ("handed_back", o["state"]);
+  EXPECT_EQ(5000, o["ended_ms"]);
+  EXPECT_EQ(250, o["retry_after_ms"]);
+  const std::string line = lineOf("m", answerOf("m", Answer::accepted()));
+  EXPECT_EQ('\n', line.back());
+  EXPECT_EQ(202, json::parse(line)["status"]);
+}
+
+}  // namespace
+}  // namespace grademux::http_door
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -372,8 +372,9 @@
 class Program {
  public:
   Program(const std::string& state, const std::string& discovery, json endpoints, double disk_mb = 3,
-          json settings = plainSettings(), int sockets = 1024)
+          json settings = plainSettings(), int sockets = 1024, const std::string& daemon = "")
       : state_(state), discovery_(discovery) {
+    if (!daemon.empty()) writeDaemon(daemon);
     config_ = {{"name", "n0"},
                {"seed", "8c1f30d27a5be964"},
                {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", sockets}, {"disk_mb", disk_mb}}},
@@ -383,6 +384,8 @@
   }
   ~Program() {
     if (pid_ > 0) kill();
+    std::error_code ignored;
+    for (const std::string& f : {path(), daemonPath(), logPath()}) std::filesystem::remove(f, ignored);
   }
 
   // Starts it and waits until it answers PING.
@@ -395,7 +398,9 @@
   }
   // With the file as it is.
   void restart(const std::map<std::string, std::string>& variables = {}) {
-    pid_ = spawn(path(), state_, variables);
+    std::vector<std::string> arguments;
+    if (std::filesystem::exists(daemonPath())) arguments = {"--daemon", daemonPath()};
+    pid_ = spawn(path(), state_, variables, arguments, logPath());
     const auto until = std::chrono::steady_clock::now() + kLong;
     while (std::chrono::steady_clock::now() < until) {
       Client c(port_);
@@ -411,15 +416,24 @@
     writeConfig(configText());
   }
   static pid_t spawn(const std::string& config, const std::string& state,
-                     const std::map<std::string, std::string>& variables = {}) {
+                     const std::map<std::string, std::string>& variables = {},
+                     const std::vector<std::string>& arguments = {}, const std::string& log = "") {
     const pid_t pid = ::fork();
     if (pid == 0) {
+      if (!log.empty()) {
+        const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(fd, STDOUT_FILENO);
+        ::dup2(fd, STDERR_FILENO);
+      }
+      std::vector<char*> argv{const_cast<char*>(GRADEMUX_SENDER)};
+      for (const std::string& a : arguments) argv.push_back(const_cast<char*>(a.c_str()));
+      argv.push_back(nullptr);
       ::setenv("GW_CONFIG", config.c_str(), 1);
       ::setenv("GW_STATE", state.c_str(), 1);
       ::unsetenv("GW_LISTEN");
       ::unsetenv("GW_DISCOVERY");
       for (const auto& [name, value] : variables) ::setenv(name.c_str(), value.c_str(), 1);
-      ::execl(GRADEMUX_SENDER, GRADEMUX_SENDER, static_cast<char*>(nullptr));
+      ::execv(GRADEMUX_SENDER, argv.data());
       ::_exit(127);
     }
     return pid;
@@ -436,9 +450,21 @@
     wait();
   }
   int port() const { return port_; }
+  pid_t pid() const { return pid_; }
+  void writeDaemon(const std::string& text) { std::ofstream(daemonPath()) << text; }
+  std::string daemonPath() const { return state_ + "-daemon.toml"; }
+  std::string path() const { return state_ + "-config.json"; }
+  // What the program has written, all lives together.
+  std::string log() const {
+    std::ifstream f(logPath());
+    return {std::istreambuf_iterator<char>(f), {}};
+  }
+  bool waitForLog(const std::string& words) const {
+    return eventually([&] { return log().find(words) != std::string::npos; });
+  }
 
  private:
-  std::string path() const { return state_ + "-config.json"; }
+  std::string logPath() const { return state_ + "-log"; }
 
   std::string state_, discovery_;
   json config_;
