--- a/rig/scenarios.cpp
+++ b/rig/scenarios.cpp
@@ -3,6 +3,8 @@
 
 #include <sys/wait.h>
 
+#include <functional>
+
 #include "../src/core/clock.h"
 
 namespace grademux::rig {
@@ -16,9 +18,11 @@
 
 const std::vector<By> kBoth{By::resp, By::http};
 
-json finished(World& w, json figures) {
+// The figures are taken once all is settled.
+json finished(World& w, const std::function<json()>& figuresOf) {
   const bool settled = w.settle(kSettle);
   bool holds = false;
+  json figures = figuresOf();
   figures.update(w.ledger.summary(holds));
   figures["settled"] = settled;
   figures["rss_mb"] = static_cast<double>(w.child().residentKb()) / 1024;
@@ -40,7 +44,9 @@
   w.start();
   const double rate = o.rate > 0 ? o.rate : 400;
   w.load(rate, o.seconds * kSecond, kBoth);
-  return finished(w, {{"rate", rate}, {"answers", doors(w)}, {"ends", w.ledger.endTimes()}});
+  return finished(w, [&] {
+    return json{{"rate", rate}, {"answers", doors(w)}, {"ends", w.ledger.endTimes()}};
+  });
 }
 
 // Drains under load on both doors: one endpoint after another is told to drain and comes back.
@@ -64,7 +70,7 @@
       w.discovery().tell(json::array({e.listed("Ready")}), false);
     });
   }
-  return finished(w, {{"rate", rate}, {"drains", drains}, {"answers", doors(w)}});
+  return finished(w, [&] { return json{{"rate", rate}, {"drains", drains}, {"answers", doors(w)}}; });
 }
 
 // An outcome may die unheard with the process: a notice beside the delivery is then what the rules ask for.
@@ -101,7 +107,7 @@
     w.clients(By::resp).expectCuts(false);
     w.clients(By::http).expectCuts(false);
   }
-  return finished(w, {{"rate", rate}, {"kills", kills}});
+  return finished(w, [&] { return json{{"rate", rate}, {"kills", kills}}; });
 }
 
 // One message through each door, end to end.
@@ -109,7 +115,7 @@
   World w(o.sender, o.seed, {});
   w.start();
   for (const By by : kBoth) w.submit(by);
-  return finished(w, {{"answers", doors(w)}, {"ends", w.ledger.endTimes()}});
+  return finished(w, [&] { return json{{"answers", doors(w)}, {"ends", w.ledger.endTimes()}}; });
 }
 
 struct Measured {
@@ -175,7 +181,7 @@
   figures["load_rate"] = half;
   const double relay_rate = figures["relay"]["per_second"];
   figures["ratio"] = relay_rate > 0 ? m.per_second / relay_rate : 0;
-  return finished(w, figures);
+  return finished(w, [&] { return figures; });
 }
 
 }  // namespace
--- a/src/doors/listener.h
+++ b/src/doors/listener.h
@@ -5,8 +5,9 @@
 
 namespace grademux {
 
-// Opens and binds; nothing is accepted before it is told to listen. What the kernel buffers for each connection
-// counts as this sender's memory, so it is bounded here (bytes). Throws std::runtime_error naming the address.
+// Opens and binds; nothing is accepted before it is told to listen. What the kernel buffers for each
+// connection counts as this sender's memory, so it is bounded here (bytes). Throws std::runtime_error naming
+// the address.
 void bindDoor(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address);
 
 }  // namespace grademux
