--- a/rig/child.cpp
+++ b/rig/child.cpp
@@ -132,17 +132,12 @@
 long Child::residentKb() const { return statusOf(pid_, "VmRSS"); }
 long Child::peakKb() const { return statusOf(pid_, "VmHWM"); }
 
-void cutTail(const std::string& path, std::uint64_t bytes) {
-  const auto size = std::filesystem::file_size(path);
-  std::filesystem::resize_file(path, size > bytes ? size - bytes : 0);
-}
-
-void flipByte(const std::string& path, std::uint64_t at) {
-  std::fstream f(path, std::ios::in | std::ios::out | std::ios::binary);
-  f.seekg(static_cast<std::streamoff>(at));
-  const int c = f.get();
-  f.seekp(static_cast<std::streamoff>(at));
-  f.put(static_cast<char>(c ^ 0x55));
+void tearTail(const std::string& path, std::uint64_t bytes) {
+  std::ifstream in(path, std::ios::binary);
+  std::string head(bytes, '\0');
+  in.read(head.data(), static_cast<std::streamsize>(bytes));
+  head.resize(static_cast<std::size_t>(in.gcount()));
+  std::ofstream(path, std::ios::binary | std::ios::app) << head;
 }
 
 }  // namespace grademux::rig
--- a/rig/child.h
+++ b/rig/child.h
@@ -44,8 +44,7 @@
   pid_t pid_ = -1;
 };
 
-// Faults in files.
-void cutTail(const std::string& path, std::uint64_t bytes);
-void flipByte(const std::string& path, std::uint64_t at);
+// A fault in a file: a write that was cut short. The file's first `bytes` bytes stand once more at its end.
+void tearTail(const std::string& path, std::uint64_t bytes);
 
 }  // namespace grademux::rig
--- a/rig/scenarios.cpp
+++ b/rig/scenarios.cpp
@@ -81,7 +81,8 @@
   }
 }
 
-// SIGKILL at random moments under load on both doors; the folder lasts, what was taken on has its one end.
+// SIGKILL at random moments under load on both doors; the folder lasts, every other time with a
+// journal whose last write was cut short; what was taken on has its one end.
 json kill(const Options& o) {
   Shape shape;
   shape.behaviour.service = 5000;
@@ -101,6 +102,7 @@
     w.kill();
     doubt(w, killed);
     ++kills;
+    if (kills % 2 == 0) tearTail(w.journal(), 1 + w.random() % 40);  // less than a whole record
     w.run(300'000);
     w.start();
     w.run(50'000);  // the last cuts come in
