HTTP door and host: read a target once, find an end in one place, drop dead state

Cause: a second reading of the whole change. Each HTTP request had its target parsed at its head and again at its end; the look-up of a message's end stood in submit and in status; the 202 of a wait stood in two loops; a mark of spoilt batches was never set, and a flush followed an answer that flushes.

Change: each has one place. Behaviour is as before, no bound or test was touched.

Not run again under the sanitizers.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -119,8 +119,7 @@
     else if (!it->second.replies.empty()) return it->second.replies.push_back(std::move(reply));
     return reply(known);
   }
-  const auto owed = owed_.find(m.id);
-  if (const Past* past = owed != owed_.end() ? &owed->second : journal_.past(m.id)) {
+  if (const Past* past = pastOf(m.id)) {
     if (past->digest != digest) known.kind = Answer::Kind::conflict;
     else if (!ended_.count(m.id)) known.end = past->end;
     return reply(known);
@@ -145,6 +144,11 @@
   add(std::move(a));
 }
 
+const Past* Host::pastOf(const std::string& id) const {
+  const auto owed = owed_.find(id);
+  return owed != owed_.end() ? &owed->second : journal_.past(id);
+}
+
 Status Host::status(const std::string& id) const {
   Status s;
   const auto held = held_.find(id);
@@ -152,8 +156,7 @@
     if (held->second.replies.empty()) s.state = Status::State::open;
     return s;
   }
-  const auto owed = owed_.find(id);
-  const Past* past = owed != owed_.end() ? &owed->second : journal_.past(id);
+  const Past* past = pastOf(id);
   if (!past) return s;
   s.state = ended_.count(id) ? Status::State::open : Status::State::ended;
   s.end = past->end;
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -51,6 +51,7 @@
   void takeList(const EndpointList::News& news);
   void over(const std::string& id, const End& end);
   void announce();
+  const Past* pastOf(const std::string& id) const;  // its end, told or not; null if it has none
 
   boost::asio::io_context& io_;
   Settings settings_;
--- a/src/doors/http/server.cpp
+++ b/src/doors/http/server.cpp
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <deque>
 #include <optional>
+#include <variant>
 
 #include "../../core/clock.h"
 #include "../listener.h"
@@ -65,7 +66,6 @@
     std::string line;       // read so far
     bool too_long = false;  // its rest is thrown away
     bool whole = false;     // all of it was read
-    bool spoilt = false;    // ended by a fault: nothing more is added
     Micros line_since = 0;
   };
   using Parser = http::request_parser<http::buffer_body>;
@@ -77,6 +77,7 @@
   std::string in, body, writing;
   std::size_t at = 0;  // of `in` has been read
   std::optional<Parser> parser;
+  std::variant<Target, Problem> target;  // of the request that is being read, once its head is there
   bool head_done = false, last = false;  // last: no request is read after this one
   bool open = true, waiting = false, write_busy = false, ended = false, leaving = false, used = false;
   std::deque<std::shared_ptr<Slot>> slots;
@@ -171,9 +172,7 @@
       fail({431, "header-too-long", "a header may have 16384 bytes"});
       return false;
     }
-    if (e == http::error::need_more) e = {};
-    else if (e == http::error::need_buffer) e = {};
-    else if (e) {
+    if (e && e != http::error::need_more && e != http::error::need_buffer) {
       fail({400, "malformed-request", e.message()});
       return false;
     }
@@ -210,7 +209,7 @@
       return fail({501, "unsupported-encoding", "chunked is known"}), false;
     if (r.version() == 11 && r.count(http::field::host) != 1)
       return fail({400, "malformed-request", "one field Host is expected"}), false;
-    const auto target = readTarget({r.target().data(), r.target().size()});
+    target = readTarget({r.target().data(), r.target().size()});
     const auto* there = std::get_if<Target>(&target);
     if (there && there->resource == Resource::batch && r.method() == http::verb::post && r.version() == 11) {
       beginBatch();
@@ -267,14 +266,13 @@
       return advance(*b);
     }
     const http::verb method = parser->get().method();
-    const auto target = readTarget({parser->get().target().data(), parser->get().target().size()});
     Fields fields;
     for (const auto& f : parser->get())
       fields.emplace_back(lower(f.name_string()), std::string(f.value().data(), f.value().size()));
     parser.reset();
     since = monotonicNow();
     if (const auto* wrong = std::get_if<Problem>(&target)) return answer(slot, problemOf(*wrong));
-    const Target& t = std::get<Target>(target);
+    const Target t = std::get<Target>(target);
     if (t.resource == Resource::batch) return notAllowed(slot, "POST");
     if (method == http::verb::get) {
       slot->late = [this, id = t.id] { return statusOf(id, door.core_->status(id)); };
@@ -321,6 +319,9 @@
     });
   }
 
+  // It has waited long enough: the message is taken on, and has no end yet.
+  void tellOpen(const std::shared_ptr<Slot>& slot) { answer(slot, answerOf(slot->id, Answer::accepted())); }
+
   // ---- batches
 
   void beginBatch() {
@@ -379,7 +380,7 @@
 
   // Moves answered lines, in order, to where they may be written.
   void advance(Batch& b) {
-    if (!open || b.spoilt) return;
+    if (!open) return;
     std::string lines;
     while (!b.lines.empty() && b.lines.front()->done) {
       lines += b.lines.front()->out;
@@ -539,7 +540,7 @@
         continue;
       }
       waits.erase(waits.begin() + static_cast<std::ptrdiff_t>(i));
-      if (slot && !slot->done) answer(slot, answerOf(slot->id, Answer::accepted()));
+      if (slot) tellOpen(slot);
     }
     if (!open || last) return;
     if (idle()) {
@@ -559,7 +560,6 @@
         return;  // between lines a batch may rest as long as a connection may
       socket.cancel();
       fail(slow);
-      flush();
     }
   }
 
@@ -567,8 +567,7 @@
     error_code e;
     if (idle() && in.empty() && socket.available(e) == 0) return close();
     for (const auto& w : waits)  // the message is taken on, and outlasts this process
-      if (const auto slot = w.lock(); slot && !slot->done)
-        answer(slot, answerOf(slot->id, Answer::accepted()));
+      if (const auto slot = w.lock()) tellOpen(slot);
     waits.clear();
   }
 
