--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -5,7 +5,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "../decision/state.h"
+#include "../decision/check.h"
 #include "../net/address.h"
 
 namespace grademux {
--- /dev/null
+++ b/src/decision/admission.h
@@ -0,0 +1,112 @@
+// grademux, decision 5, admission: what is taken on, resumed, turned away, given up.
+#pragma once
+
+#include "attempts.h"
+
+namespace grademux::decision {
+
+constexpr double kQueue = 0.5;         // of the shortest aim may the wait for a slot be ...
+constexpr double kWorthKept = 0.9;     // ... for messages that lose more than the rest of their worth by it
+constexpr double kHoldReserve = 0.06;  // of MaxOpen is kept free for better messages
+
+struct Admission : Attempts {
+  using Attempts::Attempts;
+
+  void onArrival(const Arrival& a) {
+    if (messages.count(a.id)) return;
+    const auto c = std::find_if(set.classes.begin(), set.classes.end(),
+                                [&](const MessageClass& k) { return k.name == a.message_class; });
+    if (c == set.classes.end()) {
+      acts.push_back(Fail{a.id});
+      return;
+    }
+    Message& m = messages[a.id];
+    m.id = a.id;
+    m.cls = &*c;
+    for (std::size_t i = 0; i < set.tenants.size(); ++i)
+      if (set.tenants[i].name == a.tenant) m.tenant = static_cast<int>(i);
+    if (m.tenant >= 0) count(tenant_rate[static_cast<std::size_t>(m.tenant)]);
+    m.dest = &dests[a.destination];
+    m.dest->id = a.destination;
+    ++m.dest->messages;
+    count(m.dest->traffic);
+    m.handed_in = std::min(now, a.give_up_at - c->deadline);
+    const auto stretched = static_cast<Micros>(c->aim_stretch * static_cast<double>(a.estimate));
+    m.aim = std::min(c->deadline, c->aim + stretched);
+    m.end_at = a.give_up_at - 2 * set.tick;
+    m.order = ++next_order;
+    if (c->ordered && !a.order_key.empty()) {
+      m.key = a.order_key;
+      keys[m.key].line.push_back(&m);
+    }
+    ++open;
+    ends.insert({m.end_at, m.id});
+    hold(m, now);
+    if (open > set.max_open) {
+      finish(m, true);
+      forget(m);
+    }
+  }
+
+  // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard
+  // may have run. Guards against a second effect after a restart.
+  void onResumed(const Resumed& r) {
+    onArrival(r.message);
+    auto it = messages.find(r.message.id);
+    if (it == messages.end()) return;
+    Message& m = it->second;
+    for (const PastAttempt& p : r.attempts) {
+      auto s = servers.find(p.endpoint);
+      Attempt a;
+      a.server = s == servers.end() ? nullptr : &s->second;
+      if (a.server) ++a.server->attempts;
+      a.sent = p.sent;
+      a.out = false;
+      a.may_have_run = p.may_have_run;
+      m.attempts.push_back(a);
+    }
+    if (anySendLeft(m)) return;
+    finish(m, now < m.end_at);
+    forget(m);
+  }
+
+  // Near MaxOpen the least worth is refused, so that better messages are not turned away at the door. Worth
+  // is what is left when the destination's backlog has drained: the queues of dead destinations go first.
+  // With all slots busy so are those that would come late, down to a short queue: else all come late. Only
+  // for one of many, with few slots: of few senders all are busy in an outage only. Harm: refused in a short
+  // burst.
+  void shed() {
+    const int most = std::max(1, set.max_open - std::max(1, static_cast<int>(kHoldReserve * set.max_open)));
+    const bool busy = many() && static_cast<int>(calls.size()) >= set.slots;
+    const double each = busy ? typical * common_slow / set.slots : 0;
+    double wait =
+        each * static_cast<double>(held_all - blocked);  // for a slot, of those that lack nothing else
+    if (open <= most && wait <= kQueue * least_aim) return;
+    std::vector<std::tuple<double, std::uint64_t, Message*>> least;
+    for (auto& [id, b] : backlog) {
+      const Micros then = now + std::max(drainTime(*b.item), static_cast<Micros>(wait));
+      for (Message* m : b.item->held)
+        if (mayRefuse(*m)) least.push_back({worthAt(*m, then) + 1e-3 * worthAt(*m, now), m->order, m});
+    }
+    std::sort(least.begin(), least.end());
+    for (auto& [worth, order, m] : least) {
+      const bool late = wait > kQueue * least_aim && m->dest->blocked_in != turn &&
+                        worth < kWorthKept * worthAt(*m, m->handed_in);
+      if (open <= most && !late) continue;
+      wait -= late ? each : 0;
+      finish(*m, true);
+      forget(*m);
+    }
+  }
+
+  // Everything is answered before its time is up, whatever is full, silent or not listed.
+  void endLate() {
+    while (!ends.empty() && ends.begin()->first <= now) {
+      Message& m = messages.at(ends.begin()->second);
+      finish(m, false);
+      forget(m);
+    }
+  }
+};
+
+}  // namespace grademux::decision
--- /dev/null
+++ b/src/decision/bound.h
@@ -0,0 +1,112 @@
+// grademux, decision 2, upper bound: how fast this sender may send to a destination.
+#pragma once
+
+#include <optional>
+
+#include "tags.h"
+
+namespace grademux::decision {
+
+constexpr double kBurst = 0.5;         // of a second's calls under a limit may leave at once
+constexpr double kShareMost = 0.25;    // of a limit is the most that a busy one of many senders counts on
+constexpr double kShareStart = 2;      // portions of a limit that a sender starts from
+constexpr double kShareCut = 0.75;     // this sender's part of a limit after a refusal ...
+constexpr double kShareFloor = 0.5;    // ... but at least this much of a portion
+constexpr double kShareGrowth = 0.05;  // and it grows by so much of a portion each FallMs without one
+constexpr double kStretchMost = 4;     // refusals in a row stretch the gap up to so many times
+constexpr double kTrialGap = 0.25;     // of FallMs: trials of a dead destination are stretched up to this gap
+
+struct Bound : Tags {
+  using Tags::Tags;
+
+  // What this sender may count on of a limit: an even part, or what it wants up to a fixed part. Guards busy
+  // ones of many against starving on even parts. Harm: if all are busy the limit is overrun until refusals.
+  double portion(double limit, double want) const {
+    return std::max(1.0 / set.senders, std::min(want / std::max(limit, 1e-9), kShareMost));
+  }
+
+  // Calls a second that a guard lets this sender send. The limit is the whole destination's, `own` this
+  // sender's traffic there; an endpoint that shares them counts on its part of both.
+  double rateOf(Guard& g, double limit, double own) {
+    double rate = 1e12;
+    if (g.limit > 0) {
+      const double spans = static_cast<double>(now - g.part_at) / fallSpan();
+      g.part = std::min(g.told ? 1.0 : 1e3, g.part + kShareGrowth * portion(g.limit, own) * spans);
+      g.part_at = now;
+      rate = g.limit * g.part;
+    }
+    return cold(g) ? std::min(rate, coldRate(g, limit, own)) : rate;
+  }
+
+  // Fail-back rule: what all senders together send stays inside cold share x factor x what they usually send,
+  // each by its own traffic; it grows as the destination warms. Even parts would let the busy starve and the
+  // rare never try. Harm: a destination that was never away is slowed for RampTimeMs.
+  double coldRate(const Guard& g, double limit, double own) const {
+    const double warmth = std::min(1.0, static_cast<double>(now - g.cold_since) / kSecond / trafficSpan());
+    const double share = set.cold_share + (1 - set.cold_share) * (g.down ? 0 : warmth);
+    if (limit > 0) own = limit * portion(limit, own);
+    return std::max(own, 1 / trafficSpan()) * share * set.overload_factor;
+  }
+
+  // How much later this sender comes back to a destination that is away, so that all do not come as one.
+  double comeBack(const Guard& g, const Dest& d) {
+    const double most = std::min(trafficSpan(), 1 / coldRate(g, g.limit, perSecond(d.traffic)));
+    return g.down ? std::uniform_real_distribution<double>(0, most * kSecond)(random) : 0;
+  }
+
+  // When a guard next lets a call pass; `must_by` is set for a first try that may pass pacing, see below.
+  Micros opens(const Guard& g, Micros must_by) const {
+    const auto paced = static_cast<Micros>(std::ceil(g.u));
+    const bool pass = must_by != kNever && !g.down && paced >= must_by;
+    return pass ? g.wait_until : std::max(g.wait_until, paced);
+  }
+
+  // Where this sender is one of many, first tries pass pacing that would outlast the message, but not while
+  // the destination is down: the usual traffic of those that saw an outage pushed it over. Guards against
+  // ramps and parts that last for rare senders. Harm: calls above a limit, which may use it up.
+  Micros opensAt(Server& s, const Message* m) {
+    const double limit = scope(s).limit, held = static_cast<double>(s.dest->held.size()) / trafficSpan();
+    const double own = std::max(perSecond(s.dest->traffic), held);
+    const bool rare = many() && own < (limit > 0 ? kRare * limit : 2 / trafficSpan());
+    const Micros must_by =
+        m && m->attempts.empty() && rare ? m->end_at - static_cast<Micros>(usualLatency(s)) : kNever;
+    return apart(s) ? opens(s.guard, must_by)
+                    : std::max(opens(s.guard, must_by), opens(s.dest->guard, must_by));
+  }
+
+  void charge(Guard& g, double limit, double own) {
+    const double t = static_cast<double>(now), rate = rateOf(g, limit, own);
+    const double burst = cold(g) ? 0 : kBurst * kSecond;
+    double gap = kSecond / rate;
+    if (g.down) gap = std::max(gap, std::min(kTrialGap * fallSpan(), gap * g.streak));
+    g.u = std::clamp(g.u, t - burst, t) + gap;  // a call that passed the pacing leaves no debt
+    count(g.sent);
+  }
+
+  void learnLimit(Server& s, const std::optional<LimitReport>& report) {
+    if (!report || report->limit <= 0) return;
+    Guard& g = scope(s);
+    g.limit = g.told ? 0.75 * g.limit + 0.25 * report->limit : report->limit;
+    g.told = true;
+  }
+
+  // Refused: take a smaller part. Guards against many that each think theirs harmless, and untold limits.
+  void refusedAt(Server& s, bool told_wait) {
+    Guard& g = scope(s);
+    const double own = perSecond(s.dest->traffic) / (apart(s) ? readyServers(*s.dest) : 1);
+    if (g.limit <= 0) {
+      // Nobody told one: start from what was sent, or from one call at a time.
+      g.limit = std::max(perSecond(g.sent), kSecond / std::max(1.0, g.samples > 0 ? g.usual : least_aim));
+      g.part = 1;
+    }
+    const double gap = std::min<double>(kStretchMost, g.refused) * kSecond / rateOf(g, g.limit, own);
+    if (now - g.cut_at > set.fall_span / 4) {
+      const double most = std::min(g.part, kShareStart * portion(g.limit, perSecond(g.sent)));
+      g.part = std::max(kShareFloor * portion(g.limit, own), most * kShareCut);
+      g.cut_at = now;
+    }
+    if (!told_wait) g.u = std::max(g.u, static_cast<double>(now) + gap);
+  }
+};
+
+}  // namespace grademux::decision
--- a/src/decision/containers.h
+++ b/src/decision/containers.h
@@ -2,6 +2,8 @@
 // They hold and order; they decide nothing.
 #pragma once
 
+#include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -10,6 +12,7 @@
 #include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace grademux {
 
@@ -93,4 +96,62 @@
   std::deque<std::pair<std::int64_t, Key>> order_;
 };
 
+// Events a second, decayed by e over a span. Times in microseconds, the span in seconds.
+class Rate {
+ public:
+  double perSecond(std::int64_t now, double span) const {
+    return rate_ * std::exp(-static_cast<double>(now - at_) / 1e6 / span);
+  }
+  void count(std::int64_t now, double span) {
+    rate_ = perSecond(now, span) + 1 / span;
+    at_ = now;
+  }
+  std::int64_t latest() const { return at_; }
+
+ private:
+  double rate_ = 0;
+  std::int64_t at_ = 0;
+};
+
+// Items in the order of a rising number of theirs. Adding is O(1), removal a search by halves and a move of
+// pointers: a list would be O(1), but its walk was measured at half the pace.
+template <class T, std::uint64_t T::*Place>
+class Line {
+ public:
+  void add(T* item) { items_.push_back(item); }
+  void remove(const T* item) {
+    items_.erase(std::lower_bound(items_.begin(), items_.end(), item->*Place,
+                                  [](const T* i, std::uint64_t place) { return i->*Place < place; }));
+  }
+  bool empty() const { return items_.empty(); }
+  std::size_t size() const { return items_.size(); }
+  auto begin() const { return items_.begin(); }
+  auto end() const { return items_.end(); }
+
+ private:
+  std::vector<T*> items_;
+};
+
+// Keys to look at again, each at its time and but once: a later call for one that waits changes nothing.
+template <class Key>
+class Revisit {
+ public:
+  void at(std::int64_t when, const Key& key) {
+    if (waiting_.insert(key).second) order_.insert({when, key});
+  }
+  // Takes out the first whose time has come.
+  bool due(std::int64_t now, Key& key) {
+    if (order_.empty() || order_.begin()->first > now) return false;
+    key = order_.begin()->second;
+    order_.erase(order_.begin());
+    waiting_.erase(key);
+    return true;
+  }
+  std::size_t size() const { return order_.size(); }
+
+ private:
+  std::set<std::pair<std::int64_t, Key>> order_;
+  std::set<Key> waiting_;
+};
+
 }  // namespace grademux
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -1,16 +1,22 @@
-// grademux: what the decision module remembers, and the check of its settings. No decision stands here.
+// grademux, decision: what the module remembers, and what all of its sections ask of it. The sections stand
+// on one another: state, 1 tags, 2 bound, 3 health, 4 attempts, 5 admission, 6 membership, then the turn
+// (logic.cpp).
 #pragma once
 
-#include <cstdint>
+#include <algorithm>
+#include <cmath>
 #include <deque>
+#include <map>
+#include <random>
 #include <set>
-#include <stdexcept>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "containers.h"
 #include "grademux/sender.h"
 
-namespace grademux {
+namespace grademux::decision {
 
 constexpr double kSecond = 1e6;
 constexpr Micros kNever = INT64_MAX / 4;
@@ -19,11 +25,6 @@
   double local = 0, global = 0;
 };
 
-struct Rate {  // events a second, decayed, as of a moment
-  double rate = 0;
-  Micros at = 0;
-};
-
 struct Guard {       // upper bound and health of a destination, a route, or one endpoint of a destination
   double limit = 0;  // calls a second from all senders: told, listed or learned; 0: none known
   bool told = false;
@@ -50,29 +51,15 @@
   const Kind* kind = nullptr;
   EndpointState state = EndpointState::gone;
   double weight = 0;
-  int out = 0;  // calls out
+  int out = 0;       // calls out
+  int attempts = 0;  // of messages that are not over, out or not
+  Micros gone_at = 0;
   Micros used = -kNever;
   Micros no_connect = -kNever;  // the last connect that failed
   std::deque<Micros> idle;      // since when each connection of this sender idles, oldest first
   Guard guard;
 };
 
-struct Message;
-struct Dest {
-  std::int64_t id = 0;
-  std::vector<Server*> servers;
-  std::vector<Message*> held;  // in the order of held_as
-  std::multiset<double> aims;  // of the classes of the held ones
-  std::deque<Tag>
-      tags;  // one for each held message, in order; the message that is worth most takes the first
-  double last_local = -1e18, last_global = -1e18;  // l_prev, g_prev
-  double period = 1;                               // 1/M
-  Rate traffic;                                    // own messages
-  Micros lost_idle = -1;  // a call was lost on a connection that had idled so long, none answered since
-  std::uint64_t blocked_in = 0;  // the turn in which nothing could leave
-  Guard guard;
-};
-
 struct Attempt {
   Server* server = nullptr;
   Micros sent = 0;
@@ -95,35 +82,103 @@
   int out = 0;
 };
 
+struct Dest {
+  std::int64_t id = 0;
+  std::vector<Server*> servers;
+  Line<Message, &Message::held_as> held;
+  std::multiset<double> aims;  // of the classes of the held ones
+  std::deque<Tag> tags;        // one for each held message, in order; what is worth most takes the first
+  double last_local = -1e18, last_global = -1e18;  // l_prev, g_prev
+  double period = 1;                               // 1/M
+  Rate traffic;                                    // own messages
+  Micros lost_idle = -1;  // a call was lost on a connection that had idled so long, none answered since
+  int messages = 0;       // known ones, held or not
+  std::uint64_t blocked_in = 0;  // the turn in which nothing could leave
+  Guard guard;
+};
+
 struct KeyLine {
   std::deque<Message*> line;
   Micros quiet_until = 0;
 };
 
-inline void require(bool good, const char* field) {
-  if (!good) throw std::invalid_argument(std::string("settings: ") + field);
-}
-
-inline void validate(const Settings& s) {
-  require(!s.classes.empty(), "classes");
-  for (const auto& c : s.classes) {
-    require(c.aim > 0, "classes.aim");
-    require(c.deadline >= c.aim, "classes.deadline");
-    require(c.memory >= 0, "classes.memory");
-    require(c.worth >= 0 && c.late_worth >= 0 && c.aim_stretch >= 0, "classes.worth");
+// Tuned values, here and in the sections: ratios and multiples of settings and observations, never absolute
+// times or rates.
+constexpr double kRare = 0.05;       // of a limit: with less traffic there a sender is one of many
+constexpr double kTimeoutRatio = 8;  // a call may take so many usual latencies
+constexpr double kRemember = 3;      // times RampTimeMs: what is gone is remembered at least so long
+
+struct State {
+  Settings set;
+  std::mt19937_64 random;
+  Micros now = 0;
+  std::vector<Action> acts;
+  std::map<std::string, Message> messages;  // also ended ones with an attempt out
+  std::map<std::string, Server> servers;
+  std::map<std::int64_t, Dest> dests;
+  std::map<std::string, KeyLine> keys;
+  std::set<std::pair<Micros, std::string>> ends;
+  std::unordered_map<std::uint64_t, int> calls;                        // attempts out in each call
+  std::unordered_map<Server*, std::pair<std::uint64_t, int>> forming;  // this turn's calls with room
+  std::vector<Rate> tenant_rate;
+  // What is listed no more, and order keys without a message: see retention.h.
+  Revisit<std::string> old_servers, old_keys;
+  Revisit<std::int64_t> old_dests;
+  // Running sets, so that a turn costs what changed or is out, not what is listed.
+  TwoKeyIndex<Dest> backlog;  // destinations with held messages, by their first local and global tags
+  std::map<std::uint64_t, std::pair<Message*, std::size_t>> outs;  // attempts out, oldest first
+  RecentMedian<Server*> paces;  // recent over usual latency, of those with a recent outcome
+  double typical = 0;           // mean latency of all answered calls
+  int typical_of = 0;
+  double shift = 0;  // added to every stored global tag
+  std::uint64_t next_order = 0, next_held = 0, next_call = 0, next_attempt = 0, turn = 0;
+  std::size_t held_all = 0, blocked = 0;  // messages; of them those that nothing of can leave in this turn
+  int open = 0;
+  Micros wake_at = kNever, next_wake = kNever;
+  Micros ask_at = 0;
+  Micros stop_at = kNever;  // no outcome is heard later than this
+  int ask_failures = 0;
+  double common_slow = 1, least_aim = 1e300;
+  double dead_score = 0;  // signs of connections that die idle, decayed; the shortest that died
+  Micros dead_least = kNever, dead_at = -kNever;
+  Kind plain_kind;
+
+  State(Settings s, std::uint64_t seed) : set(std::move(s)), random(seed) {
+    tenant_rate.resize(set.tenants.size());
+    for (const auto& c : set.classes) least_aim = std::min(least_aim, static_cast<double>(c.aim));
+    ask_at = set.list == ListMode::ask ? 0 : kNever;
+  }
+
+  bool apart(const Server& s) const { return s.kind->routes_apart; }
+  Guard& scope(Server& s) { return apart(s) ? s.guard : s.dest->guard; }
+
+  // The list told of a drain or removal: nothing new goes there from that moment, well inside the grace.
+  bool usable(const Server& s) const { return s.state == EndpointState::ready; }
+
+  bool cold(const Guard& g) const { return g.down || now - g.cold_since < set.ramp_time; }
+  bool many() const { return kRare * set.senders > 1; }
+
+  double readyServers(const Dest& d) const {
+    const auto n =
+        std::count_if(d.servers.begin(), d.servers.end(), [this](Server* s) { return usable(*s); });
+    return std::max(1.0, static_cast<double>(n));
+  }
+
+  // What is gone is remembered at least so long: an id that returns before finds its state.
+  Micros kept() const {
+    return 1 + std::max(2 * set.fall_span, static_cast<Micros>(kRemember * trafficSpan() * kSecond));
   }
-  for (const auto& t : s.tenants) require(t.quota >= 0, "tenants.quota");
-  for (const auto& k : s.kinds) require(k.per_call >= 1, "kinds.per_call");
-  require(s.senders >= 1, "senders");
-  require(s.slots >= 1, "slots");
-  require(s.max_open >= 1, "max_open");
-  require(s.max_attempts >= 1, "max_attempts");
-  require(s.tick >= 0, "tick");
-  require(s.drain_grace >= 0 && s.ask_within >= 0 && s.order_pause >= 0, "rules");
-  require(s.dial_timeout >= 0 && s.conn_idle >= 0, "dial_timeout");
-  require(s.max_pause >= 0, "max_pause");
-  require(s.fall_span >= 0 && s.ramp_time >= 0, "fall_span");
-  require(s.cold_share > 0 && s.cold_share <= 1 && s.overload_factor > 0, "cold_share");
-}
-
-}  // namespace grademux
+
+  double fallSpan() const { return static_cast<double>(std::max<Micros>(1, set.fall_span)); }
+  double trafficSpan() const { return static_cast<double>(std::max<Micros>(1, set.ramp_time)) / kSecond; }
+  double perSecond(const Rate& r) const { return r.perSecond(now, trafficSpan()); }
+  void count(Rate& r) { r.count(now, trafficSpan()); }
+
+  double usualLatency(const Server& s) const {
+    if (s.guard.samples > 0) return s.guard.usual;
+    if (s.dest->guard.samples > 0) return s.dest->guard.usual;
+    return typical_of > 0 ? typical : least_aim / kTimeoutRatio;
+  }
+};
+
+}  // namespace grademux::decision
--- a/src/sim/simhost.cpp
+++ b/src/sim/simhost.cpp
@@ -79,7 +79,7 @@
       integer(f, "Label");
       i.events.push_back(Wake{});
     } else if (name == "CheckResult") {
-      i.events.push_back(Probed{text(f, "Endpoint"), readResult(f), span(f, "RttMs"), gauge(i, f)});
+      text(f, "Endpoint");  // nothing here asks for one
     } else if (name == "Established") {
       i.events.push_back(Started{text(f, "OpId"), static_cast<int>(integer(f, "Attempt"))});
     } else if (name == "Left") {
