--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -21,7 +21,7 @@
 }  // namespace
 
 Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
-           Notices& notices)
+           EndNotices& notices)
     : io_(io),
       settings_(settings),
       sender_(std::move(settings), seed),
@@ -122,6 +122,7 @@
 }
 
 void Host::submit(Submission s, Reply reply) {
+  if (!s.partner.empty()) return reply(Answer::rejected("unknown-destination", "unknown partner"));
   const TakenOn& m = s.message;
   const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                 [&](const MessageClass& c) { return c.name == m.message_class; });
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "../carriers/carrier.h"
-#include "../discovery/discovery.h"
 #include "../membership/list.h"
 #include "journal.h"
+#include "notices.h"
 #include "settings.h"
 
 namespace grademux {
@@ -24,7 +24,7 @@
   // Sees each turn of the decision module, after it: the events, and what they were answered with.
   using Tap = std::function<void(Micros now, const std::vector<Event>&, const std::vector<Action>&)>;
   Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
-       Notices& notices);
+       EndNotices& notices);
 
   // Takes over what the journal and the configuration know: before clients are served.
   void recover(const json& known);
@@ -66,7 +66,7 @@
   Tap tap_;
   Journal& journal_;
   Carrier& carrier_;
-  Notices& notices_;
+  EndNotices& notices_;
   MembershipList list_;
   bool telling_ = false;  // a slice waits for its turn
   std::unordered_map<std::string, Held> held_;
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -30,6 +30,7 @@
 // What a door hands in: read, not yet admitted.
 struct Submission {
   TakenOn message;
+  std::string partner;    // named in place of the destination, until an admission step has its number
   Micros may_last = 0;    // how long it may still be delivered, from when it was read
   const char* door = "";  // the kind of door that it came by
 };
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -1,84 +1,16 @@
 // grademux: the daemon file; see daemon_file.h.
 #include "daemon_file.h"
 
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <fstream>
-#include <initializer_list>
-#include <set>
 #include <sstream>
 
-#include "../net/address.h"
-
 namespace grademux {
 
 namespace {
 
 using boost::asio::ip::tcp;
 
-// A table of the file whose keys are asked for one by one; what was not asked for is unknown.
-class Table {
- public:
-  Table(const toml::table& t, std::string name, std::vector<Mistake>& mistakes)
-      : table_(t), name_(std::move(name)), mistakes_(mistakes) {}
-
-  void mistake(const toml::source_region& at, const std::string& what) {
-    mistakes_.push_back({at.begin.line, at.begin.column, what});
-  }
-  const toml::node* node(const char* key) {
-    known_.insert(key);
-    return table_.get(key);
-  }
-  std::int64_t whole(const char* key, std::int64_t otherwise, std::int64_t least, std::int64_t most) {
-    const toml::node* n = node(key);
-    if (!n) return otherwise;
-    const auto v = n->is_integer() ? n->value<std::int64_t>() : std::nullopt;
-    if (v && *v >= least && *v <= most) return *v;
-    mistake(n->source(), named(key) + ": a whole number from " + std::to_string(least) + " to " +
-                             std::to_string(most) + " is expected");
-    return otherwise;
-  }
-  std::string word(const char* key, std::initializer_list<const char*> words) {
-    const toml::node* n = node(key);
-    const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
-    std::string all;
-    for (const char* w : words) {
-      if (v && *v == w) return *v;
-      all += (all.empty() ? "\"" : " or \"") + std::string(w) + "\"";
-    }
-    mistake(n ? n->source() : table_.source(), named(key) + ": " + all + " is expected");
-    return {};
-  }
-  bool listen(const char* key, tcp::endpoint& out) {
-    const toml::node* n = node(key);
-    const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
-    try {
-      if (v) out = parseAddress(*v);
-    } catch (const std::invalid_argument&) {}
-    if (v && out.port() != 0) return true;
-    mistake(n ? n->source() : table_.source(),
-            named(key) + ": an address and a port from 1 to 65535 are expected, as \"127.0.0.1:8080\"");
-    return false;
-  }
-  void unknown(const std::string& where) {
-    std::string all;
-    for (const std::string& k : known_) all += (all.empty() ? "" : ", ") + k;
-    for (const auto& [key, value] : table_)
-      if (!known_.count(std::string(key.str())))
-        mistake(key.source(),
-                "unknown key " + std::string(key.str()) + where + ": one of " + all + " is expected");
-  }
-
- private:
-  std::string named(const char* key) const { return name_.empty() ? key : name_ + "." + key; }
-
-  const toml::table& table_;
-  std::string name_;
-  std::vector<Mistake>& mistakes_;
-  std::set<std::string> known_;
-};
-
 bool sameAddress(const tcp::endpoint& a, const tcp::endpoint& b) {
   return a.port() == b.port() &&
          (a.address() == b.address() || a.address().is_unspecified() || b.address().is_unspecified());
@@ -122,22 +54,17 @@
   return sum;
 }
 
-std::string Mistake::in(const std::string& path) const {
-  return path + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + what;
-}
-
 DaemonFile readDaemonText(const std::string& text, const std::string& path, std::vector<Mistake>& mistakes) {
   DaemonFile file;
   file.path = path;
   try {
     const toml::table root = toml::parse(text, path);
     Table top(root, "", mistakes);
-    if (const toml::node* doors = top.node("door")) {
-      const toml::array* list = doors->as_array();
-      if (!list || !list->is_homogeneous(toml::node_type::table))
-        top.mistake(doors->source(), "door: tables are expected, each begun by [[door]]");
-      else
-        for (const toml::node& d : *list) readDoor(*d.as_table(), file, mistakes);
+    for (const toml::table* d : top.tables("door")) readDoor(*d, file, mistakes);
+    Site site;
+    if (readSite(top, site, mistakes)) {
+      if (file.doors.empty()) top.mistake("a program that stands alone needs a [[door]]");
+      file.site = std::move(site);
     }
     top.unknown("");
   } catch (const toml::parse_error& e) {
--- a/src/daemon/daemon_file.h
+++ b/src/daemon/daemon_file.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../doors/http/server.h"
+#include "site.h"
 
 namespace grademux {
 
@@ -22,17 +23,11 @@
 struct DaemonFile {
   std::string path;
   std::vector<DoorSpec> doors;
+  std::optional<Site> site;  // there if the program can stand alone by this file
   // Connections of all doors together.
   std::int64_t connections() const;
 };
 
-// One line for people: "FILE:LINE:COLUMN: what was expected".
-struct Mistake {
-  std::int64_t line = 0, column = 0;
-  std::string what;
-  std::string in(const std::string& path) const;
-};
-
 // Reads and checks. What it gives is to be used only if `mistakes` stays empty, which it does not if the file
 // can't be read.
 DaemonFile readDaemonFile(const std::string& path, std::vector<Mistake>& mistakes);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,6 +1,9 @@
 // grademux: the command line of the sender.
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 
 #include "service.h"
@@ -16,7 +19,32 @@
   const DaemonFile file = readDaemonFile(path, mistakes);
   for (const Mistake& m : mistakes) std::cout << m.in(path) << '\n';
   if (!mistakes.empty()) return kUnusable;
-  std::cout << path << ": good, " << file.doors.size() << " doors\n";
+  std::cout << path << ": good, " << file.doors.size() << " doors";
+  if (file.site)
+    std::cout << ", " << file.site->settings.classes.size() << " classes, " << file.site->partners.size()
+              << " partners";
+  std::cout << '\n';
+  return 0;
+}
+
+int init(const std::string& folder) {
+  namespace fs = std::filesystem;
+  const fs::path path = fs::path(folder) / "grademux.toml";
+  std::error_code e;
+  fs::create_directories(folder, e);
+  if (fs::exists(path, e)) {
+    std::cerr << "grademux: " << path.string() << " is there already and is left as it is\n";
+    return kUnusable;
+  }
+  std::ofstream out(path);
+  if (!(out << kStarter) || !out.flush()) {
+    std::cerr << "grademux: " << path.string() << " can't be written\n";
+    return kUnusable;
+  }
+  std::cout << "wrote " << path.string() << "; next:\n  grademux_sender run --daemon " << path.string()
+            << "\n  curl -X PUT localhost:8080/v1/messages/1 -H 'Content-Type: application/json' \\\n"
+               "    -d '{\"class\":\"notice\",\"destination\":\"print-shop\",\"deadline_ms\":60000,"
+               "\"body\":\"hello\"}'\n";
   return 0;
 }
 
@@ -33,7 +61,19 @@
       for (const Mistake& m : mistakes) std::cerr << m.in(path) << '\n';
       if (!mistakes.empty()) return kUnusable;
     }
-    serve(io, signals, readConfig(), std::move(daemon), recording);
+    const bool platform = std::getenv("GW_CONFIG") && *std::getenv("GW_CONFIG");
+    if (platform && daemon.site)
+      throw std::runtime_error(
+          path +
+          ": GW_CONFIG is set and gives classes, partners, limits and journal: take these "
+          "tables out, or unset GW_CONFIG to stand alone");
+    if (!platform && !daemon.site)
+      throw std::runtime_error(path.empty() ? "GW_CONFIG is not set; to stand alone a daemon file is needed: "
+                                              "`grademux_sender init` writes one"
+                                            : "GW_CONFIG is not set, and " + path +
+                                                  " has no [[class]] and [[partner]]");
+    Config config = platform ? readConfig() : configOf(*daemon.site, path);
+    serve(io, signals, std::move(config), std::move(daemon), recording);
   } catch (const std::exception& e) {
     std::cerr << "grademux: " << e.what() << '\n';
     return kUnusable;
@@ -45,6 +85,7 @@
 
 int main(int argc, char** argv) {
   CLI::App app{"grademux: a sender of outbound messages. GW_CONFIG and GW_STATE tell it of its platform."};
+  app.set_version_flag("--version", GRADEMUX_VERSION);
   std::string daemon, file;
   app.add_option("--daemon", daemon, "the daemon file (TOML) with the product's own features")
       ->type_name("FILE");
@@ -57,10 +98,16 @@
   CLI::App* checks =
       app.add_subcommand("check", "checks a daemon file: a line for each mistake, exit status 2");
   checks->add_option("FILE", file, "the daemon file")->required();
+  std::string folder = ".";
+  CLI::App* inits = app.add_subcommand("init", "writes a daemon file to begin with, FOLDER/grademux.toml");
+  inits->add_option("FOLDER", folder, "made if it isn't there (.)");
+  CLI::App* runs = app.add_subcommand("run", "runs the sender, as without a subcommand");
+  runs->add_option("--daemon", daemon, "the daemon file")->type_name("FILE");
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : kUnusable; }
   recording.most_bytes = most_mb << 20;
+  if (inits->parsed()) return init(folder);
   return checks->parsed() ? check(file) : run(daemon, recording);
 }
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -11,6 +11,7 @@
 #include "../core/host.h"
 #include "../discovery/discovery.h"
 #include "../doors/resp/server.h"
+#include "../membership/partners.h"
 #include "../net/address.h"
 #include "../replay/recorder.h"
 #include "doors.h"
@@ -42,6 +43,36 @@
           static_cast<std::size_t>(std::min(clients, c.sockets / kProvenPart))};
 }
 
+// Where nobody is told of ends: they are on record, and clients ask.
+class OnRecordAlone : public EndNotices {
+ public:
+  OnRecordAlone(boost::asio::io_context& io, std::function<void(const std::string&)> told)
+      : io_(io), told_(std::move(told)) {}
+  void owe(const std::string& id, const Notice&) override {
+    ++owed_;
+    boost::asio::post(io_, [this, id] {
+      --owed_;
+      told_(id);
+    });
+  }
+  std::size_t owed() const override { return owed_; }
+
+ private:
+  boost::asio::io_context& io_;
+  std::function<void(const std::string&)> told_;
+  std::size_t owed_ = 0;
+};
+
+// Standing alone, all connections of clients are those of the daemon file's doors.
+void checkConnections(const Config& c, const DaemonFile& d) {
+  const std::int64_t most = leftOf(c) - leftOf(c) / 5;
+  if (d.connections() > most)
+    throw std::runtime_error("the doors' max_connections are " + std::to_string(d.connections()) +
+                             " together: at most " + std::to_string(most) +
+                             " are expected with limits.sockets " + std::to_string(c.sockets) +
+                             " and limits.calls " + std::to_string(c.settings.slots));
+}
+
 class Service {
  public:
   Service(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon,
@@ -51,17 +82,25 @@
         daemon_(std::move(daemon)),
         look_(io),
         worker_(io),
-        doors_(io),
-        clients_(io, parseAddress(config_.listen), clientLimits(config_, daemon_)) {
+        doors_(io) {
+    if (alone()) checkConnections(config_, daemon_);
+    else
+      clients_ = std::make_unique<RespDoor>(io, parseAddress(config_.listen), clientLimits(config_, daemon_));
     if (!recording.path.empty())
       recorder_ = std::make_unique<replay::Recorder>(recording.path, recording.most_bytes, config_.settings,
                                                      config_.seed);
     doors_.bind(daemon_.doors);
     // Only now that every address is had: the journal of a process that can't begin stays as it is.
     journal_ = std::make_unique<Journal>(config_.state, config_.disk_bytes);
-    const tcp::endpoint agent = parseAddress(config_.discovery);
-    notices_ = std::make_unique<Notices>(Agent(io, agent, config_.discovery),
-                                         [this](const std::string& id) { host_->told(id); });
+    const auto told = [this](const std::string& id) { host_->told(id); };
+    const tcp::endpoint agent = alone() ? tcp::endpoint() : parseAddress(config_.discovery);
+    if (alone()) {
+      notices_ = std::make_unique<OnRecordAlone>(io, told);
+    } else {
+      auto notices = std::make_unique<Notices>(Agent(io, agent, config_.discovery), told);
+      platform_notices_ = notices.get();
+      notices_ = std::move(notices);
+    }
     carrier_ = std::make_unique<HttpCarrier>(
         io,
         HttpCarrier::Limits{config_.settings.dial_timeout, config_.settings.conn_idle,
@@ -74,16 +113,30 @@
         recorder_->turn(now, events, actions);
       });
     host_->recover(config_.known);
-    watcher_ =
-        std::make_unique<Watcher>(Agent(io, agent, config_.discovery), worker_,
-                                  [this](ListAnswer answer) { return host_->list(std::move(answer)); });
-    watcher_->start(host_->version());
-    clients_.start(*admission_);
+    if (alone()) {
+      auto names = std::make_unique<PartnerNames>();
+      names_ = names.get();
+      admission_->add(std::move(names));
+      listPartners();
+    } else {
+      watcher_ =
+          std::make_unique<Watcher>(Agent(io, agent, config_.discovery), worker_,
+                                    [this](ListAnswer answer) { return host_->list(std::move(answer)); });
+      watcher_->start(host_->version());
+      clients_->start(*admission_);
+    }
     doors_.start(*admission_);
     nextSignal();
   }
 
  private:
+  bool alone() const { return config_.discovery.empty(); }
+
+  void listPartners() {
+    names_->set(daemon_.site->partners);
+    host_->list(listOf(daemon_.site->partners, host_->version() + 1));
+  }
+
   void nextSignal() {
     signals_.async_wait([this](const boost::system::error_code& e, int number) {
       if (e) return;
@@ -94,6 +147,7 @@
 
   // What can't be read or used leaves the old configuration in force, each file by itself.
   void reload() {
+    if (alone()) return reloadDaemonFile();
     try {
       Config fresh = readConfig();
       clientLimits(fresh, daemon_);
@@ -103,16 +157,16 @@
       if (fresh.discovery != config_.discovery) {
         const tcp::endpoint moved = parseAddress(fresh.discovery);
         watcher_->moveTo(moved, fresh.discovery);
-        notices_->moveTo(moved, fresh.discovery);
+        platform_notices_->moveTo(moved, fresh.discovery);
       }
       config_ = std::move(fresh);
     } catch (const std::exception& e) {
       std::cerr << "the new configuration is not used: " << e.what() << '\n';
     }
-    if (!daemon_.path.empty()) reloadDoors();
+    if (!daemon_.path.empty()) reloadDaemonFile();
   }
 
-  void reloadDoors() {
+  void reloadDaemonFile() {
     std::vector<Mistake> mistakes;
     DaemonFile fresh = readDaemonFile(daemon_.path, mistakes);
     try {
@@ -120,11 +174,29 @@
         throw std::runtime_error(
             mistakes[0].in(daemon_.path) +
             (mistakes.size() > 1 ? " (the first of " + std::to_string(mistakes.size()) + ")" : ""));
-      const RespDoor::Limits limits = clientLimits(config_, fresh);
+      if (fresh.site.has_value() != alone())
+        throw std::runtime_error(
+            alone() ? "it has no [[class]] and [[partner]] any more"
+                    : "[[class]], [[partner]], [limits] and [journal] are given by GW_CONFIG");
+      if (alone()) checkConnections(config_, fresh);
+      const RespDoor::Limits limits = alone() ? RespDoor::Limits{} : clientLimits(config_, fresh);
       doors_.change(fresh.doors);
-      clients_.setLimits(limits);
+      if (clients_) clients_->setLimits(limits);
+      const std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
+      if (alone()) {
+        // What is heeded at the next start only stays as it was, so that it is told again.
+        Site now = std::move(*fresh.site);
+        std::swap(now.settings, daemon_.site->settings);
+        now.folder = daemon_.site->folder;
+        now.disk_bytes = daemon_.site->disk_bytes;
+        now.sockets = daemon_.site->sockets;
+        fresh.site = std::move(now);
+      }
       daemon_ = std::move(fresh);
-      std::cerr << "daemon file reloaded: " << doors_.count() << " doors\n";
+      if (alone()) listPartners();
+      std::cerr << "daemon file reloaded: " << doors_.count() << " doors";
+      if (alone()) std::cerr << ", " << daemon_.site->partners.size() << " partners";
+      std::cerr << (later.empty() ? "" : "; changed and needs a restart: ") << later << '\n';
     } catch (const std::exception& e) {
       std::cerr << "the new daemon file is not used: " << e.what() << '\n';
     }
@@ -134,7 +206,7 @@
     if (stop_from_ != 0) return;
     stop_from_ = monotonicNow();
     std::cerr << "stopping\n";
-    clients_.drain(Leaving::stopping);
+    if (clients_) clients_->drain(Leaving::stopping);
     doors_.drain();
     admission_->drain();
     host_->stopAt(stop_from_ + kStopAfter);
@@ -143,7 +215,7 @@
 
   void lookAgain() {
     const Micros since = monotonicNow() - stop_from_;
-    const bool quiet = since > kLateClients && clients_.open() == 0 && doors_.open() == 0 &&
+    const bool quiet = since > kLateClients && (!clients_ || clients_->open() == 0) && doors_.open() == 0 &&
                        carrier_->out() == 0 && notices_->owed() == 0 && host_->idle();
     if (quiet || since >= kStopAfter) {
       signals_.cancel();
@@ -163,13 +235,15 @@
   Micros stop_from_ = 0;
   std::unique_ptr<replay::Recorder> recorder_;
   std::unique_ptr<Journal> journal_;
-  std::unique_ptr<Notices> notices_;
+  std::unique_ptr<EndNotices> notices_;
+  Notices* platform_notices_ = nullptr;  // the same, on a platform
   std::unique_ptr<HttpCarrier> carrier_;
   std::unique_ptr<Host> host_;
   std::unique_ptr<Admission> admission_;
+  PartnerNames* names_ = nullptr;  // a step of it, standing alone
   std::unique_ptr<Watcher> watcher_;
-  Doors doors_;  // last: they hold answers that what stands above owes
-  RespDoor clients_;
+  Doors doors_;                        // last: they hold answers that what stands above owes
+  std::unique_ptr<RespDoor> clients_;  // the platform's
 };
 
 }  // namespace
--- /dev/null
+++ b/src/daemon/toml_table.cpp
@@ -0,0 +1,188 @@
+// grademux: a table of the daemon file; see toml_table.h.
+#include "toml_table.h"
+
+#include <cmath>
+#include <cstdlib>
+#include <sstream>
+#include <utility>
+
+#include "../net/address.h"
+
+namespace grademux {
+
+namespace {
+
+struct Unit {
+  const char* name;
+  double times;
+};
+constexpr Unit kTimes[] = {{"us", 1}, {"ms", 1e3}, {"s", 1e6}, {"min", 60e6}, {"h", 3600e6}, {"d", 86400e6}};
+constexpr Unit kSizes[] = {{"B", 1},
+                           {"KB", 1e3},
+                           {"MB", 1e6},
+                           {"GB", 1e9},
+                           {"KiB", 1024.0},
+                           {"MiB", 1024 * 1024.0},
+                           {"GiB", 1024 * 1024 * 1024.0}};
+
+// A number, blanks or none, and a unit.
+template <std::size_t N>
+bool quantity(const std::string& s, const Unit (&units)[N], double& out) {
+  const std::size_t digits = s.find_first_not_of("0123456789.");
+  if (digits == 0 || digits == std::string::npos || digits > 15) return false;
+  const std::string number = s.substr(0, digits);
+  if (number.find('.') != number.rfind('.') || number == ".") return false;
+  const std::size_t at = s.find_first_not_of(' ', digits);
+  for (const Unit& u : units)
+    if (at != std::string::npos && s.substr(at) == u.name) {
+      out = std::strtod(number.c_str(), nullptr) * u.times;
+      return true;
+    }
+  return false;
+}
+
+template <std::size_t N>
+std::string shown(double value, const Unit (&units)[N]) {
+  const Unit* best = &units[0];
+  for (const Unit& u : units)
+    if (value >= u.times && value / u.times < value / best->times &&
+        value / u.times == std::floor(value / u.times))
+      best = &u;
+  std::string n = std::to_string(static_cast<std::int64_t>(value / best->times));
+  return "\"" + n + " " + best->name + "\"";
+}
+
+}  // namespace
+
+std::string Mistake::in(const std::string& path) const {
+  return path + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + what;
+}
+
+void Table::mistake(const toml::source_region& at, const std::string& what) {
+  mistakes_.push_back({at.begin.line, at.begin.column, what});
+}
+void Table::expected(const char* key, const std::string& what) {
+  const toml::node* n = table_.get(key);
+  mistake(n ? n->source() : table_.source(), named(key) + ": " + what);
+}
+const toml::node* Table::node(const char* key) {
+  known_.insert(key);
+  return table_.get(key);
+}
+
+std::int64_t Table::whole(const char* key, std::int64_t otherwise, std::int64_t least, std::int64_t most) {
+  const toml::node* n = node(key);
+  if (!n) return otherwise;
+  const auto v = n->is_integer() ? n->value<std::int64_t>() : std::nullopt;
+  if (v && *v >= least && *v <= most) return *v;
+  expected(key,
+           "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " is expected");
+  return otherwise;
+}
+double Table::real(const char* key, double otherwise, double least, double most) {
+  const toml::node* n = node(key);
+  if (!n) return otherwise;
+  const auto v = n->is_number() ? n->value<double>() : std::nullopt;
+  if (v && *v >= least && *v <= most) return *v;
+  std::ostringstream range;
+  range << "a number from " << least << " to " << most << " is expected";
+  expected(key, range.str());
+  return otherwise;
+}
+bool Table::truth(const char* key, bool otherwise) {
+  const toml::node* n = node(key);
+  if (!n) return otherwise;
+  if (n->is_boolean()) return *n->value<bool>();
+  expected(key, "true or false is expected");
+  return otherwise;
+}
+std::string Table::text(const char* key, const std::string& otherwise) {
+  const toml::node* n = node(key);
+  if (!n && !otherwise.empty()) return otherwise;
+  const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
+  if (v && !v->empty()) return *v;
+  expected(key, "a text is expected");
+  return otherwise;
+}
+std::string Table::word(const char* key, std::initializer_list<const char*> words, const char* otherwise) {
+  const toml::node* n = node(key);
+  if (!n && otherwise) return otherwise;
+  const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
+  std::string all;
+  for (const char* w : words) {
+    if (v && *v == w) return *v;
+    all += (all.empty() ? "\"" : " or \"") + std::string(w) + "\"";
+  }
+  expected(key, all + " is expected");
+  return {};
+}
+std::vector<std::string> Table::texts(const char* key) {
+  std::vector<std::string> all;
+  const toml::node* n = node(key);
+  if (!n) return all;
+  const toml::array* list = n->as_array();
+  if (!list || (!list->empty() && !list->is_homogeneous(toml::node_type::string)))
+    expected(key, "a list of texts is expected");
+  else
+    for (const toml::node& i : *list) all.push_back(*i.value<std::string>());
+  return all;
+}
+Micros Table::span(const char* key, Micros otherwise, Micros least, Micros most) {
+  const toml::node* n = node(key);
+  if (!n) return otherwise;
+  const auto v = n->is_string() ? n->value<std::string>() : std::nullopt;
+  double us = 0;
+  if (v && quantity(*v, kTimes, us) && us >= static_cast<double>(least) && us <= static_cast<double>(most))
+    return std::llround(us);
+  expected(key, "a time with its unit (us, ms, s, min, h, d) from " +
+                    shown(static_cast<double>(least), kTimes) + " to " +
+                    shown(static_cast<double>(most), kTimes) + " is expected, as \"250 ms\"");
+  return otherwise;
+}
+std::int64_t Table::size(const char* key, std::int64_t otherwise, std::int64_t least, std::int64_t most) {
+  const toml::node* n = node(key);
+  if (!n) return otherwise;
+  const auto v = n->is_string() ? n->value<std::string>() : std::nullopt;
+  double bytes = 0;
+  if (v && quantity(*v, kSizes, bytes) && bytes >= static_cast<double>(least) &&
+      bytes <= static_cast<double>(most))
+    return std::llround(bytes);
+  expected(key, "a size with its unit (B, KB, MB, GB, KiB, MiB, GiB) from " +
+                    shown(static_cast<double>(least), kSizes) + " to " +
+                    shown(static_cast<double>(most), kSizes) + " is expected, as \"256 MiB\"");
+  return otherwise;
+}
+
+bool Table::listen(const char* key, boost::asio::ip::tcp::endpoint& out) {
+  const toml::node* n = node(key);
+  const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
+  try {
+    if (v) out = parseAddress(*v);
+  } catch (const std::invalid_argument&) {}
+  if (v && out.port() != 0) return true;
+  expected(key, "an address and a port from 1 to 65535 are expected, as \"127.0.0.1:8080\"");
+  return false;
+}
+
+std::vector<const toml::table*> Table::tables(const char* key) {
+  std::vector<const toml::table*> all;
+  const toml::node* n = node(key);
+  if (!n) return all;
+  const toml::array* list = n->as_array();
+  if (!list || !list->is_homogeneous(toml::node_type::table))
+    expected(key, "tables are expected, each begun by [[" + std::string(key) + "]]");
+  else
+    for (const toml::node& t : *list) all.push_back(t.as_table());
+  return all;
+}
+
+void Table::unknown(const std::string& where) {
+  std::string all;
+  for (const std::string& k : known_) all += (all.empty() ? "" : ", ") + k;
+  for (const auto& [key, value] : table_)
+    if (!known_.count(std::string(key.str())))
+      mistake(key.source(),
+              "unknown key " + std::string(key.str()) + where + ": one of " + all + " is expected");
+}
+
+}  // namespace grademux
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <set>
 
-#include "../core/journal.h"
+#include "../core/notices.h"
 #include "../core/worker.h"
 #include "../membership/list.h"
 #include "../net/http_connection.h"
@@ -54,13 +54,13 @@
 };
 
 // Sends notices until each has been answered, however often that takes.
-class Notices {
+class Notices : public EndNotices {
  public:
   using OnTold = std::function<void(const std::string& id)>;
   Notices(Agent agent, OnTold on_told) : agent_(std::move(agent)), on_told_(std::move(on_told)) {}
-  void owe(const std::string& id, const Notice& notice);
+  void owe(const std::string& id, const Notice& notice) override;
   void moveTo(tcp::endpoint peer, std::string host);  // all that is owed is told there
-  std::size_t owed() const { return owed_.size(); }
+  std::size_t owed() const override { return owed_.size(); }
 
  private:
   void send();
--- a/src/doors/http/messages.cpp
+++ b/src/doors/http/messages.cpp
@@ -75,6 +75,12 @@
   return v.get<std::int64_t>();
 }
 
+std::optional<std::int64_t> wholeNumber(const std::string& s) {
+  if (s.empty() || s.size() > 15 || s.find_first_not_of("0123456789") != std::string::npos)
+    return std::nullopt;
+  return std::stoll(s);
+}
+
 std::variant<Submission, Problem> readDocument(const json& o, const std::string& id) {
   try {
     for (const auto& item : o.items()) {
@@ -89,7 +95,10 @@
     Submission s;
     s.message.id = id;
     s.message.message_class = text(o, "class");
-    s.message.destination = wholeIn(o, "destination");
+    const json& destination = grademux::field(o, "destination");
+    const bool named = destination.is_string() && !destination.get<std::string>().empty();
+    if (named && !wholeNumber(destination)) s.partner = destination;
+    else s.message.destination = wholeIn(o, "destination");
     const std::int64_t ms = wholeIn(o, "deadline_ms");
     s.may_last = ms > 0 && ms <= kLongestLife / 1000 ? ms * 1000 : 0;
     s.message.idempotency_key = text(o, "key", "");
@@ -108,12 +117,6 @@
   } catch (const BadInput& e) { return unusable(e.what()); }
 }
 
-std::optional<std::int64_t> wholeNumber(const std::string& s) {
-  if (s.empty() || s.size() > 15 || s.find_first_not_of("0123456789") != std::string::npos)
-    return std::nullopt;
-  return std::stoll(s);
-}
-
 std::variant<Submission, Problem> readRaw(const std::string& id, const Fields& fields, std::string body) {
   Submission s;
   s.message.id = id;
@@ -121,8 +124,10 @@
   s.message.body = std::move(body);
   const std::string* destination = field(fields, "grademux-destination");
   const auto number = destination ? wholeNumber(*destination) : std::nullopt;
-  if (!number) return unusable("Grademux-Destination: a whole number is expected");
-  s.message.destination = *number;
+  if (!destination || destination->empty())
+    return unusable("Grademux-Destination: a whole number or a partner's name is expected");
+  if (number) s.message.destination = *number;
+  else s.partner = *destination;
   const std::string* deadline = field(fields, "grademux-deadline-ms");
   const auto ms = deadline ? wholeNumber(*deadline) : std::nullopt;
   s.may_last = ms && *ms <= kLongestLife / 1000 ? *ms * 1000 : 0;
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -9,6 +9,7 @@
 
 #include "../../core/clock.h"
 #include "../listener.h"
+#include "commands.h"
 #include "parser.h"
 
 namespace grademux {
@@ -56,7 +57,10 @@
       put.may_last = n * 1000;
       timed = true;
     } else if (name == "dest") {
-      if (!wholeNumber(value, put.message.destination)) return "malformed dest";
+      // What begins like a number is one, or wrong: partners' names don't.
+      const bool named = !value.empty() && value.find_first_not_of("+-0123456789.") != std::string::npos;
+      if (named) put.partner = value;
+      else if (!wholeNumber(value, put.message.destination)) return "malformed dest";
       addressed = true;
     } else if (name == "k") {
       put.message.idempotency_key = value;
@@ -70,27 +74,21 @@
   return nullptr;
 }
 
-// One RESP line without its end.
+// One RESP line.
 std::string replyTo(const Answer& a) {
   switch (a.kind) {
     case Answer::Kind::accepted:
-      return "+OK";
+      return "+OK\r\n";
     case Answer::Kind::refused:
-      return a.pause > 0 ? "-BUSY " + std::to_string((a.pause + 999) / 1000) : std::string("-BUSY");
+      return a.pause > 0 ? "-BUSY " + std::to_string((a.pause + 999) / 1000) + "\r\n" : "-BUSY\r\n";
     case Answer::Kind::rejected:
-      return "-ERR " + a.why;
+      return "-ERR " + a.why + "\r\n";
     case Answer::Kind::conflict:
-      return "-ERR the id is another message's";
+      return "-ERR the id is another message's\r\n";
     case Answer::Kind::given_up:
       break;
   }
-  return "-ERR given up";
-}
-
-std::string upper(std::string s) {
-  for (char& c : s)
-    if (c >= 'a' && c <= 'z') c = static_cast<char>(c - 'a' + 'A');
-  return s;
+  return "-ERR given up\r\n";
 }
 
 }  // namespace
@@ -100,6 +98,7 @@
     idle,     // between requests
     partial,  // the next one has begun
     asked,    // handed on, not answered
+    waiting,  // for a message's end
     writing,  // the answer is on its way
     resting,  // was useless; what comes next waits
     leaving   // told of an error; the rest of its input is thrown away
@@ -110,6 +109,9 @@
   tcp::socket socket;
   asio::steady_timer rest;
   std::string in, out;
+  RespClient client;
+  std::string awaited;  // waiting: the message's id, and for how long
+  Micros patience = 0;
   Phase phase = Phase::idle;
   Micros since = monotonicNow();
   std::size_t thrown = 0;
@@ -155,23 +157,51 @@
         return wait();
       case Parsed::malformed:
         closing = true;
-        return answer("-ERR " + error);
+        return answer("-ERR " + error + "\r\n");
       case Parsed::whole:
         break;
     }
     in.erase(0, used);
     if (in.empty()) in.shrink_to_fit();
-    const std::string command = upper(words[0]);
-    if (command == "PING") return answer(words.size() > 1 ? "-ERR wrong number of arguments" : "+PONG");
-    if (command != "MSG.PUT") return answer("-ERR unknown command");
-    if (words.size() != 5) return answer("-ERR wrong number of arguments");
+    RespCommand command =
+        readCommand(words, client, {clients.sessions_.size(), monotonicNow() - clients.since_});
+    switch (command.does) {
+      case RespCommand::Does::put:
+        return put(words);
+      case RespCommand::Does::get:
+        return answer(statusReply(clients.core_->status(words[1])));
+      case RespCommand::Does::wait:
+        if (!readWait(words[2], patience))
+          return answer("-ERR a whole number of milliseconds is expected\r\n");
+        awaited = words[1];
+        enter(Phase::waiting);
+        ++clients.unanswered_;
+        return lookForEnd(monotonicNow());
+      case RespCommand::Does::quit:
+        closing = true;
+        break;
+      case RespCommand::Does::reply:
+        break;
+    }
+    answer(command.reply);
+  }
+
+  // Answers once the message has ended, isn't known, the time is over, or the door drains.
+  void lookForEnd(Micros now) {
+    const Status s = clients.core_->status(awaited);
+    if (s.state == Status::State::open && now - since < patience && !clients.draining_) return;
+    --clients.unanswered_;
+    answer(statusReply(s));
+  }
+
+  void put(std::vector<std::string>& words) {
     Submission put;
     if (words[1].find_first_not_of('0') != std::string::npos) put.message.order_key = words[1];
     put.message.id = words[2];
     put.message.body = std::move(words[4]);
-    if (put.message.id.empty() || !usableToken(put.message.id)) return answer("-ERR malformed id");
-    if (const char* wrong = readFields(words[3], put)) return answer(std::string("-ERR ") + wrong);
-    if (!usableToken(put.message.idempotency_key)) return answer("-ERR malformed k");
+    if (put.message.id.empty() || !usableToken(put.message.id)) return answer("-ERR malformed id\r\n");
+    if (const char* wrong = readFields(words[3], put)) return answer(std::string("-ERR ") + wrong + "\r\n");
+    if (!usableToken(put.message.idempotency_key)) return answer("-ERR malformed k\r\n");
     put.door = "resp";
     enter(Phase::asked);
     ++clients.unanswered_;
@@ -190,7 +220,7 @@
     useful = useful || !useless;
     proven = proven || (!useless && phase == Phase::asked);
     closing = closing || faults >= kMostFaults;
-    out = reply + "\r\n";
+    out = reply;
     enter(Phase::writing);
     asio::async_write(socket, asio::buffer(out), [self = shared_from_this()](error_code e, std::size_t) {
       if (!self->open) return;
@@ -239,7 +269,7 @@
         if (spent < kWhole) break;
         socket.cancel();
         closing = true;
-        answer("-ERR the request did not come to its end");
+        answer("-ERR the request did not come to its end\r\n");
         break;
       case Phase::writing:
         if (spent >= kWrite) close();
@@ -247,6 +277,9 @@
       case Phase::leaving:
         if (spent >= kLeave) close();
         break;
+      case Phase::waiting:
+        lookForEnd(now);
+        break;
       case Phase::asked:
       case Phase::resting:
         break;
@@ -257,6 +290,7 @@
   std::pair<int, Micros> rank(Micros now) const {
     const Micros spent = now - since;
     if (phase == Phase::asked || phase == Phase::writing) return {9, since};
+    if (phase == Phase::waiting) return {7, since};  // closed, it may ask again: nothing is lost
     if (phase == Phase::partial && proven) return {8, since};
     // A newcomer's first request is on its way: closed now, it would have failed.
     const bool useless = phase == Phase::leaving || phase == Phase::resting;
@@ -267,7 +301,7 @@
   void close() {
     if (!open) return;
     open = false;
-    if (phase == Phase::asked) --clients.unanswered_;
+    if (phase == Phase::asked || phase == Phase::waiting) --clients.unanswered_;
     error_code ignored;
     rest.cancel();
     socket.shutdown(tcp::socket::shutdown_both, ignored);
@@ -284,6 +318,7 @@
 
 void RespDoor::start(Intake& core) {
   core_ = &core;
+  since_ = monotonicNow();
   acceptor_.listen();
   accept();
   sweep();
@@ -353,6 +388,7 @@
   limitProven();
   const auto session = std::move(newcomer_);
   newcomer_ = nullptr;
+  session->client.id = ++next_id_;
   sessions_.insert(session);
   session->read();  // its request has mostly come by now
   accept();
@@ -391,6 +427,7 @@
   for (const auto& s : all) {
     error_code e;
     if (s->phase == Session::Phase::idle && s->socket.available(e) == 0) s->close();
+    else if (s->phase == Session::Phase::waiting) s->lookForEnd(monotonicNow());
   }
 }
 
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -1,5 +1,5 @@
-// grademux: the RESP2 server that clients hand messages to: PING and MSG.PUT, each request answered in
-// turn. Every step of a connection has a time limit; a full table makes room for newcomers.
+// grademux: the RESP2 server that clients hand messages to: the commands of commands.h, each request answered
+// in turn. Every step of a connection has a time limit; a full table makes room for newcomers.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -56,6 +56,8 @@
   std::shared_ptr<Session> newcomer_;  // accepted, waits for room
   std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
   std::size_t unanswered_ = 0;
+  std::int64_t next_id_ = 0;  // of connections
+  Micros since_ = 0;          // started
   bool accepting_ = false, draining_ = false, removed_ = false;
 };
 
--- a/tests/core/host_test.cpp
+++ b/tests/core/host_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "../../src/discovery/discovery.h"
 #include "../decision/rig.h"
 #include "../support/loopback.h"
 
--- /dev/null
+++ b/tests/daemon/standing_alone_test.cpp
@@ -0,0 +1,225 @@
+// A program that stands alone: its file with all mistakes named, and the real program run by it.
+#include "../../rig/child.h"
+#include "../../src/daemon/daemon_file.h"
+#include "../support/loopback.h"
+
+namespace grademux {
+namespace {
+
+using namespace loopback;
+
+struct Read {
+  std::vector<Mistake> mistakes;  // first: reading fills it
+  DaemonFile file;
+  explicit Read(const std::string& text) : file(readDaemonText(text, "f.toml", mistakes)) {}
+};
+
+const char* const kDoor = "[[door]]\nkind = \"resp\"\nlisten = \"127.0.0.1:6390\"\n";
+const char* const kClass = "[[class]]\nname = \"notice\"\neffect = \"safe\"\n";
+const char* const kPartner = "[[partner]]\nname = \"shop\"\nendpoints = [\"127.0.0.1:1\"]\n";
+
+TEST(Site, TheStarterIsGoodAndSaysWhatItSays) {
+  const Read r(kStarter);
+  for (const Mistake& m : r.mistakes) ADD_FAILURE() << m.in("starter");
+  ASSERT_TRUE(r.file.site);
+  const Site& s = *r.file.site;
+  EXPECT_EQ(s.disk_bytes, 256u << 20);
+  ASSERT_EQ(s.settings.classes.size(), 3u);
+  EXPECT_EQ(s.settings.classes[1].memory, 600'000'000);
+  EXPECT_EQ(s.settings.classes[2].effect, Effect::unsafe);
+  EXPECT_EQ(s.settings.classes[2].worth, 4);
+  ASSERT_EQ(s.partners.size(), 1u);
+  EXPECT_EQ(s.partners[0].name, "print-shop");
+}
+
+TEST(Site, AFileWithDoorsAloneIsForAPlatform) {
+  const Read r(kDoor);
+  EXPECT_TRUE(r.mistakes.empty());
+  EXPECT_FALSE(r.file.site);
+}
+
+struct Case {
+  const char *name, *text, *expected;
+  friend void PrintTo(const Case& c, std::ostream* out) { *out << c.name; }
+};
+class SiteMistakes : public ::testing::TestWithParam<Case> {};
+TEST_P(SiteMistakes, AreNamedWithTheirPlace) {
+  const Read r(std::string(kDoor) + kClass + kPartner + GetParam().text);  // ten lines come before
+  ASSERT_EQ(1u, r.mistakes.size());
+  const std::string said = r.mistakes[0].in("f");
+  EXPECT_EQ(said.substr(0, std::strlen(GetParam().expected)), GetParam().expected) << said;
+}
+INSTANTIATE_TEST_SUITE_P(
+    Table, SiteMistakes,
+    ::testing::Values(
+        Case{"limit", "[limits]\ncalls = 0", "f:11:9: limits.calls: a whole number from 1 to 10000"},
+        Case{"unit", "[limits]\nidle = \"5 parsec\"",
+             "f:11:8: limits.idle: a time with its unit (us, ms, s, min, h, d)"},
+        Case{"bare", "[limits]\nidle = 5", "f:11:8: limits.idle: a time with its unit"},
+        Case{"size", "[journal]\ndisk = \"1 KiB\"", "f:11:8: journal.disk: a size with its unit"},
+        Case{"unknown", "[limits]\ncolour = 1", "f:11:1: unknown key colour in limits: one of calls, "},
+        Case{"table", "limits = 5", "f:10:"},
+        Case{"effect", "[[class]]\nname = \"x\"\neffect = \"maybe\"", "f:12:10: class.effect: \"safe\" or"},
+        Case{"memory", "[[class]]\nname = \"x\"\neffect = \"keyed\"",
+             "f:10:1: class.memory: how long partners"},
+        Case{"deadline", "[[class]]\nname = \"x\"\neffect = \"safe\"\naim = \"2 h\"\ndeadline = \"90 min\"",
+             "f:14:12: class.deadline: no less than aim"},
+        Case{"same class", "[[class]]\nname = \"notice\"\neffect = \"safe\"",
+             "f:11:8: class.name: another class"},
+        Case{"same partner", "[[partner]]\nname = \"shop\"\nendpoints = [\"127.0.0.1:2\"]",
+             "f:11:8: partner.name: another partner"},
+        Case{"same number",
+             "[[partner]]\nname = \"a\"\nnumber = 5\nendpoints = [\"127.0.0.1:2\"]\n[[partner]]\nname = "
+             "\"b\"\n"
+             "number = 5\nendpoints = [\"127.0.0.1:3\"]",
+             "f:16:10: partner.number: a number of its own is expected, a has 5"},
+        Case{"same endpoint", "[[partner]]\nname = \"b\"\nendpoints = [\"127.0.0.1:1\"]",
+             "f:12:13: partner.endpoints: 127.0.0.1:1 is an endpoint of shop"},
+        Case{"address", "[[partner]]\nname = \"b\"\nendpoints = [\"shop.example\"]",
+             "f:12:13: partner.endpoints: an address and a port are expected, not \"shop.example\""},
+        Case{"digits", "[[partner]]\nname = \"12\"\nendpoints = [\"127.0.0.1:2\"]",
+             "f:11:8: partner.name: printable"},
+        Case{"draining",
+             "[[partner]]\nname = \"b\"\nendpoints = [\"127.0.0.1:2\"]\ndraining = [\"127.0.0.1:4\"]",
+             "f:13:12: partner.draining: 127.0.0.1:4 is not one"}));
+
+TEST(Site, AllMistakesOfOneFileAreToldAtOnce) {
+  const Read r("[limits]\ncalls = 0\nidle = 5\n[[class]]\neffect = \"safe\"\n[[partner]]\nname = \"a b\"\n");
+  EXPECT_EQ(r.mistakes.size(), 6u);  // calls, idle, class.name, partner.name, partner.endpoints, no door
+}
+
+// Risk: a message in the journal goes to another partner after a restart, or another version.
+TEST(Partners, ANameHasTheSameNumberForEver) {
+  EXPECT_EQ(numberOfName("print-shop"), numberOfName("print-shop"));
+  EXPECT_EQ(numberOfName("shop"), 609384977);
+  EXPECT_NE(numberOfName("shop"), numberOfName("shop2"));
+}
+
+// The real program, by a file of its own; with a folder that lasts.
+struct Alone {
+  Alone() : port(rig::freePort()) {}
+  ~Alone() {
+    if (child.running()) {
+      child.signal(SIGKILL);
+      child.wait();
+    }
+  }
+  std::string path() const { return folder.path() + "/grademux.toml"; }
+  void write(const std::string& partners) const {
+    std::ofstream(path()) << "[[door]]\nkind = \"resp\"\nlisten = \"127.0.0.1:" << port << "\"\n"
+                          << "[[class]]\nname = \"notice\"\neffect = \"safe\"\ndeadline = \"20 s\"\n"
+                          << "[[class]]\nname = \"payment\"\neffect = \"unsafe\"\n"
+                          << partners;
+  }
+  static std::string partner(const std::string& name, const std::string& address,
+                             const std::string& more = "") {
+    return "[[partner]]\nname = \"" + name + "\"\nendpoints = [\"" + address + "\"]\n" + more;
+  }
+  void start() {
+    child.start({GRADEMUX_SENDER, "run", "--daemon", path()}, {}, folder.path() + "/log");
+    ASSERT_TRUE(child.waitForPort(port, 30)) << log();
+  }
+  std::string log() const {
+    std::ifstream f(folder.path() + "/log");
+    return {std::istreambuf_iterator<char>(f), {}};
+  }
+  bool logged(const std::string& words) const {
+    return eventually([&] { return log().find(words) != std::string::npos; });
+  }
+  std::string put(const std::string& id, const std::string& partner, const std::string& cls = "notice",
+                  int ms = 20000) const {
+    return Client(port).ask(
+        {"MSG.PUT", "0", id, "c=" + cls + ",d=" + std::to_string(ms) + ",dest=" + partner, "body"});
+  }
+  // The state of a message once it has ended.
+  std::string end(const std::string& id) const {
+    Client c(port);
+    if (c.ask({"MSG.WAIT", id, "25000"}) == "*-1") return "unknown";
+    c.line(), c.line(), c.line();
+    return c.line();
+  }
+  TempFolder folder;
+  int port;
+  rig::Child child;
+};
+
+Act taken(const Seen&) { return {answer("200 OK")}; }
+
+TEST(StandingAlone, DeliversToAPartnerByNameAndRemembersOverAKill) {
+  Server shop(taken);
+  Alone a;
+  a.write(Alone::partner("shop", shop.address()));
+  a.start();
+  EXPECT_EQ(a.put("m1", "shop"), "+OK");
+  EXPECT_EQ(a.end("m1"), "delivered");
+  EXPECT_EQ(a.put("m2", "nobody"), "-ERR unknown partner");
+  a.child.signal(SIGKILL);
+  a.child.wait();
+  a.start();
+  EXPECT_EQ(a.end("m1"), "delivered");
+  EXPECT_EQ(a.put("m3", std::to_string(numberOfName("shop"))), "+OK");  // the number works, too
+  EXPECT_EQ(a.end("m3"), "delivered");
+  a.child.signal(SIGTERM);
+  EXPECT_EQ(a.child.wait(), 0);
+}
+
+TEST(StandingAlone, AReloadMovesDrainsAndRemovesPartnersOrLeavesAllAsItWas) {
+  Server first(taken), second(taken);
+  Alone a;
+  a.write(Alone::partner("shop", first.address()));
+  a.start();
+  EXPECT_EQ(a.put("m1", "shop"), "+OK");
+  EXPECT_EQ(a.end("m1"), "delivered");
+  const std::size_t before = first.seen().size();
+  a.write(Alone::partner("shop", second.address()));
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(a.logged("daemon file reloaded: 1 doors, 1 partners")) << a.log();
+  EXPECT_EQ(a.put("m2", "shop"), "+OK");
+  EXPECT_EQ(a.end("m2"), "delivered");
+  EXPECT_EQ(first.seen().size(), before);
+  EXPECT_EQ(second.seen().size(), 1u);
+
+  a.write("[[partner]]\nname = 5\n");
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(a.logged("the new daemon file is not used")) << a.log();
+  EXPECT_EQ(a.put("m3", "shop"), "+OK");
+  EXPECT_EQ(a.end("m3"), "delivered");
+
+  // All of its endpoints drain, another comes, then the partner goes: what waits has its end.
+  a.write(Alone::partner("shop", second.address(), "draining = [\"" + second.address() + "\"]\n") +
+          Alone::partner("bank", first.address()));
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(a.logged("1 doors, 2 partners")) << a.log();
+  EXPECT_EQ(a.put("m4", "shop", "notice", 3000), "+OK");
+  EXPECT_EQ(a.put("m5", "bank", "payment"), "+OK");
+  EXPECT_EQ(a.end("m5"), "delivered");
+  EXPECT_EQ(second.seen().size(), 2u);
+  a.write(Alone::partner("bank", first.address()));
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(eventually([&] { return a.put("m6", "shop") == "-ERR unknown partner"; }));
+  EXPECT_EQ(a.end("m4"), "given_up");
+}
+
+TEST(StandingAlone, WhatCantBeginSaysWhy) {
+  Alone a;
+  a.write(Alone::partner("shop", "127.0.0.1:1"));
+  rig::Child c;
+  c.start({GRADEMUX_SENDER, "run", "--daemon", a.path()}, {"GW_CONFIG=/somewhere"}, a.folder.path() + "/log");
+  EXPECT_EQ(WEXITSTATUS(c.wait()), 2);
+  EXPECT_NE(a.log().find("GW_CONFIG is set and gives classes"), std::string::npos) << a.log();
+  rig::Child d;
+  d.start({GRADEMUX_SENDER}, {}, a.folder.path() + "/log");
+  EXPECT_EQ(WEXITSTATUS(d.wait()), 2);
+  EXPECT_NE(a.log().find("grademux_sender init"), std::string::npos) << a.log();
+  rig::Child e, again;
+  e.start({GRADEMUX_SENDER, "init", a.folder.path() + "/new"}, {}, a.folder.path() + "/log");
+  EXPECT_EQ(e.wait(), 0);
+  again.start({GRADEMUX_SENDER, "init", a.folder.path() + "/new"}, {}, a.folder.path() + "/log");
+  EXPECT_EQ(WEXITSTATUS(again.wait()), 2);
+  rig::Child f;
+  f.start({GRADEMUX_SENDER, "check", a.folder.path() + "/new/grademux.toml"}, {}, a.folder.path() + "/log");
+  EXPECT_EQ(f.wait(), 0);
+}
+
+}  // namespace
+}  // namespace grademux
--- a/tests/doors/http_messages_test.cpp
+++ b/tests/doors/http_messages_test.cpp
@@ -65,6 +65,7 @@
   EXPECT_EQ(400, document("class", 5));
   EXPECT_EQ(400, document("class", ""));
   EXPECT_EQ(400, document("destination", "7"));
+  EXPECT_EQ(400, document("destination", ""));
   EXPECT_EQ(400, document("destination", 7.5));
   EXPECT_EQ(400, document("destination", 18446744073709551615ull));
   EXPECT_EQ(400, document("deadline_ms", 0));
--- a/tests/doors/http_openapi_test.cpp
+++ b/tests/doors/http_openapi_test.cpp
@@ -38,6 +38,10 @@
   // What is wrong with a value by its schema, for the keywords that the description uses; empty: nothing.
   std::string wrong(const json& schema_or_ref, const json& v) const {
     const json& s = resolve(schema_or_ref);
+    if (s.contains("oneOf")) {
+      const auto fits = [&](const json& one) { return wrong(one, v).empty(); };
+      return std::count_if(s["oneOf"].begin(), s["oneOf"].end(), fits) == 1 ? "" : "not one of: " + v.dump();
+    }
     const std::string type = s.value("type", "");
     const bool fits = type == "object"    ? v.is_object()
                       : type == "string"  ? v.is_string()
@@ -162,6 +166,11 @@
     without.erase(item.key());
     EXPECT_EQ(d.wrong(schema, without).empty(), reads(without)) << item.key();
   }
+  for (const json& destination : {json("print-shop"), json("7"), json(""), json(7), json(true), json(1.5)}) {
+    json other = full;
+    other["destination"] = destination;
+    EXPECT_EQ(d.wrong(schema, other).empty(), reads(other)) << destination;
+  }
   json more = full;
   more["surprise"] = 1;
   EXPECT_NE("", d.wrong(schema, more));
