--- a/src/doors/resp/commands.cpp
+++ b/src/doors/resp/commands.cpp
@@ -20,6 +20,7 @@
   return a;
 }
 constexpr const char* kNullBulk = "$-1\r\n";
+constexpr const char* kNull = "_\r\n";  // RESP3
 constexpr const char* kNullArray = "*-1\r\n";
 
 std::string upper(std::string s) {
@@ -51,18 +52,25 @@
 RespCommand echo(const Words& w, RespClient&, const RespFacts&) { return replied(bulk(w[1])); }
 
 RespCommand hello(const Words& w, RespClient& c, const RespFacts&) {
-  // RESP3 is not spoken: a client that asks for it goes on with 2, by the protocol's own rule.
-  if (w.size() > 1 && w[1] != "2") return replied(fault("NOPROTO this door speaks RESP2"));
+  const int protocol = w.size() == 1 ? c.protocol : w[1] == "2" ? 2 : w[1] == "3" ? 3 : 0;
+  if (protocol == 0) return replied(fault("NOPROTO this door speaks RESP2 and RESP3"));
   for (std::size_t i = 2; i < w.size();) {
     const std::string option = upper(w[i]);
     if (option == "AUTH") return failed(kNoPassword);
-    if (option != "SETNAME" || i + 1 >= w.size()) return failed("HELLO 2 takes SETNAME name");
+    if (option != "SETNAME" || i + 1 >= w.size()) return failed("HELLO takes a version, then SETNAME name");
     if (!setName(c, w[i + 1])) return failed(kBadName);
     i += 2;
   }
-  return replied(arrayOf({bulk("server"), bulk("grademux"), bulk("version"), bulk(GRADEMUX_VERSION),
-                          bulk("proto"), number(2), bulk("id"), number(c.id), bulk("mode"),
-                          bulk("standalone"), bulk("role"), bulk("master"), bulk("modules"), arrayOf({})}));
+  c.protocol = protocol;
+  const std::vector<std::string> facts{
+      bulk("server"),  bulk("grademux"),   bulk("version"), bulk(GRADEMUX_VERSION),
+      bulk("proto"),   number(protocol),   bulk("id"),      number(c.id),
+      bulk("mode"),    bulk("standalone"), bulk("role"),    bulk("master"),
+      bulk("modules"), arrayOf({})};
+  if (protocol == 2) return replied(arrayOf(facts));
+  std::string map = "%" + std::to_string(facts.size() / 2) + "\r\n";
+  for (const std::string& f : facts) map += f;
+  return replied(map);
 }
 
 RespCommand auth(const Words&, RespClient&, const RespFacts&) { return failed(kNoPassword); }
@@ -70,7 +78,8 @@
 RespCommand client(const Words& w, RespClient& c, const RespFacts&) {
   const std::string what = upper(w[1]);
   if (what == "ID" && w.size() == 2) return replied(number(c.id));
-  if (what == "GETNAME" && w.size() == 2) return replied(c.name.empty() ? kNullBulk : bulk(c.name));
+  if (what == "GETNAME" && w.size() == 2)
+    return replied(!c.name.empty() ? bulk(c.name) : c.protocol == 3 ? kNull : kNullBulk);
   if (what == "SETNAME" && w.size() == 3) return setName(c, w[2]) ? replied(simple("OK")) : failed(kBadName);
   if (what == "SETINFO" && w.size() == 4) {
     const std::string field = upper(w[2]);
@@ -94,6 +103,7 @@
 RespCommand quit(const Words&, RespClient&, const RespFacts&) { return {Does::quit, simple("OK")}; }
 RespCommand reset(const Words&, RespClient& c, const RespFacts&) {
   c.name.clear();
+  c.protocol = 2;
   return replied(simple("RESET"));
 }
 RespCommand put(const Words&, RespClient&, const RespFacts&) { return {Does::put, {}}; }
@@ -114,7 +124,7 @@
     {"MSG.WAIT", 3, 3, wait, "Waits for a message's end, for so many milliseconds at most"},
     {"PING", 1, 2, ping, "Answers PONG, or the word given"},
     {"ECHO", 2, 2, echo, "Answers the word given"},
-    {"HELLO", 1, 7, hello, "Begins with a version of the protocol, which is 2"},
+    {"HELLO", 1, 7, hello, "Begins with a version of the protocol, 2 or 3"},
     {"AUTH", 2, 3, auth, "There is no password"},
     {"CLIENT", 2, 4, client, "This connection's id and name"},
     {"INFO", 1, kAny, info, "Figures of this door"},
@@ -144,7 +154,7 @@
                   number(0), number(0)});
 }
 
-RespCommand command(const Words& w, RespClient&, const RespFacts&) {
+RespCommand command(const Words& w, RespClient& c, const RespFacts&) {
   const std::string what = w.size() > 1 ? upper(w[1]) : "";
   std::vector<std::string> all;
   if (what.empty() || (what == "INFO" && w.size() == 2)) {
@@ -153,7 +163,8 @@
     return replied(number(std::size(kCommands)));
   } else if (what == "INFO") {
     for (std::size_t i = 2; i < w.size(); ++i)
-      all.push_back(entryOf(w[i]) ? describe(*entryOf(w[i])) : std::string(kNullArray));
+      all.push_back(entryOf(w[i]) ? describe(*entryOf(w[i]))
+                                  : std::string(c.protocol == 3 ? kNull : kNullArray));
   } else if (what == "DOCS") {
     for (const Entry& e : kCommands) {
       const auto named = [&](const std::string& n) { return upper(n) == e.name; };
@@ -176,10 +187,10 @@
   return e->run(words, c, facts);
 }
 
-std::string statusReply(const Status& s) {
+std::string statusReply(const Status& s, int protocol) {
   switch (s.state) {
     case Status::State::unknown:
-      return kNullArray;
+      return protocol == 3 ? kNull : kNullArray;
     case Status::State::open:
       return arrayOf({bulk("state"), bulk("open")});
     case Status::State::ended:
--- a/src/doors/resp/commands.h
+++ b/src/doors/resp/commands.h
@@ -16,6 +16,7 @@
 struct RespClient {
   std::int64_t id = 0;
   std::string name;
+  int protocol = 2;  // 3 after HELLO 3: its HELLO is a map, its null one of its own; all else is the same
 };
 struct RespFacts {
   std::size_t connections = 0;
@@ -39,7 +40,7 @@
 RespCommand readCommand(const std::vector<std::string>& words, RespClient& client, const RespFacts& facts);
 
 // Fields and values of what is known of a message; a null for one that is not known.
-std::string statusReply(const Status& s);
+std::string statusReply(const Status& s, int protocol);
 
 // MSG.WAIT's milliseconds, as microseconds, at most kLongestRespWait; false if it is no whole number.
 constexpr Micros kLongestRespWait = 30'000'000;
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -169,7 +169,7 @@
       case RespCommand::Does::put:
         return put(words);
       case RespCommand::Does::get:
-        return answer(statusReply(clients.core_->status(words[1])));
+        return answer(statusReply(clients.core_->status(words[1]), client.protocol));
       case RespCommand::Does::wait:
         if (!readWait(words[2], patience))
           return answer("-ERR a whole number of milliseconds is expected\r\n");
@@ -191,7 +191,7 @@
     const Status s = clients.core_->status(awaited);
     if (s.state == Status::State::open && now - since < patience && !clients.draining_) return;
     --clients.unanswered_;
-    answer(statusReply(s));
+    answer(statusReply(s, client.protocol));
   }
 
   void put(std::vector<std::string>& words) {
