--- a/rig/main.cpp
+++ b/rig/main.cpp
@@ -25,6 +25,8 @@
   app.add_option("--rate", o.rate, "messages a second; without it the scenario's own")
       ->check(CLI::Range(0.0, 1e5));
   app.add_option("--destinations", o.destinations, "of the scenario wide")->check(CLI::Range(20, 10'000));
+  app.add_option("--listed", o.listed, "of the scenario wide: entries of its long list")
+      ->check(CLI::Range(20, 100'000));
   app.add_option("--json", file, "a file for the figures, too");
   app.add_option("--sender", o.sender, "the program under test");
   try {
--- a/rig/scenarios.h
+++ b/rig/scenarios.h
@@ -15,6 +15,7 @@
   std::uint64_t seed = 1;
   double rate = 0;          // messages a second; 0: the scenario's own
   int destinations = 2000;  // wide
+  int listed = 20'000;      // wide: entries of the list that comes under load
 };
 using Scenario = json (*)(const Options&);
 const std::map<std::string, std::pair<Scenario, const char*>>& scenarios();
