--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -13,10 +13,9 @@
 
 namespace {
 
-constexpr std::size_t kListSlice = 1000;  // changes of the list in one turn
-constexpr Micros kAilmentAge =
-    24LL * 3600 * 1'000'000;         // health that was not heard of for so long is dropped
-constexpr Micros kWakeGrain = 1000;  // wakes this close are one
+constexpr std::size_t kListSlice = 1000;               // changes of the list in one turn
+constexpr Micros kAilmentAge = 24LL * 3600 * 1000000;  // health not heard of for so long is dropped
+constexpr Micros kWakeGrain = 1000;                    // wakes this close are one
 
 }  // namespace
 
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -155,6 +155,23 @@
 std::uint64_t sizeOfListed(const std::string& name, const std::string& entry) {
   return 2 * 8 + name.size() + entry.size();
 }
+// The records of a change of the list, in order. The version stands in the last alone, in the others the one
+// before: a write that is cut short must not claim what it lacks.
+template <class Entries, class Take>
+void eachListRecord(const Entries& entries, std::int64_t before, std::int64_t index, bool anew,
+                    const Take& take) {
+  std::string part;
+  const auto record = [&](std::int64_t version) {
+    take(Writer(kListed).number(version).number(anew).out() + part);
+    part.clear();
+    anew = false;
+  };
+  for (const auto& [name, entry] : entries) {
+    part += Writer(kListed).text(name).text(entry).out().substr(1);
+    if (part.size() >= kBatch) record(before);
+  }
+  record(index);
+}
 constexpr std::uint64_t kAilment = 128;  // bytes, at most but for a long name
 std::string ailingPayload(const Ailment& a) {
   return Writer(kAiling).text(a.endpoint).number(a.destination).number(a.down).number(a.cold_since).out();
@@ -422,21 +439,8 @@
                      bool whole) {
   if (whole) list_fits_ = true;
   if (!list_fits_) return true;
-  // The version stands in the last record alone: a write that is cut short must not claim what it lacks.
-  const auto record = [](std::int64_t version, bool anew, const std::string& entries) {
-    return Writer(kListed).number(version).number(anew).out() + entries;
-  };
-  const std::int64_t before = whole ? -1 : list_index_;
-  Writer entries(kListed);
-  bool anew = whole;
-  for (const auto& [name, entry] : changes) {
-    entries.text(name).text(entry);
-    if (entries.out().size() < kBatch) continue;
-    append(record(before, anew, entries.out().substr(1)));
-    entries = Writer(kListed);
-    anew = false;
-  }
-  append(record(index, anew, entries.out().substr(1)));
+  eachListRecord(changes, whole ? -1 : list_index_, index, whole,
+                 [this](const std::string& r) { append(r); });
   if (list_bytes_ <= disk_ / 4) return true;
   list_fits_ = false;
   append(Writer(kListed).number(-1).number(1).out());
@@ -486,16 +490,8 @@
   std::string data;
   const std::uint64_t live = liveBytes();
   data.reserve(live < disk_ ? live : 0);
-  Writer list(kListed);
-  list.number(list_index_).number(1);
-  for (const auto& [name, entry] : list_) {
-    list.text(name).text(entry);
-    if (list.out().size() < kBatch) continue;
-    frame(data, list.out());
-    list = Writer(kListed);
-    list.number(list_index_).number(0);
-  }
-  if (list_index_ >= 0) frame(data, list.out());
+  if (list_index_ >= 0)
+    eachListRecord(list_, list_index_, list_index_, true, [&](const std::string& r) { frame(data, r); });
   for (const auto& [key, a] : ailments_) frame(data, ailingPayload(a));
   Writer ends(kPast);
   for (const auto& [id, past] : past_) {
--- a/src/core/message.cpp
+++ b/src/core/message.cpp
@@ -3,12 +3,15 @@
 
 namespace grademux {
 
+std::uint64_t fnv1a(const void* data, std::size_t size, std::uint64_t from) {
+  const auto* p = static_cast<const unsigned char*>(data);
+  for (std::size_t i = 0; i < size; ++i) from = (from ^ p[i]) * 1099511628211ull;
+  return from;
+}
+
 std::uint64_t digestOf(const TakenOn& m) {
-  std::uint64_t h = 14695981039346656037ull;
-  auto add = [&h](const void* data, std::size_t size) {
-    const auto* p = static_cast<const unsigned char*>(data);
-    for (std::size_t i = 0; i < size; ++i) h = (h ^ p[i]) * 1099511628211ull;
-  };
+  std::uint64_t h = fnv1a(nullptr, 0);
+  auto add = [&h](const void* data, std::size_t size) { h = fnv1a(data, size, h); };
   auto number = [&add](std::uint64_t v) {
     unsigned char bytes[8];
     for (int i = 0; i < 8; ++i) bytes[i] = static_cast<unsigned char>(v >> (8 * i));
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -33,12 +33,18 @@
 // Descriptors: the calls out, then a fifth of the rest for idle connections, all else for clients; the doors
 // of the daemon file have theirs out of these.
 std::int64_t leftOf(const Config& c) { return c.sockets - kSpareSockets - c.settings.slots; }
-RespDoor::Limits clientLimits(const Config& c, const DaemonFile& d) {
-  const std::int64_t left = leftOf(c), clients = left - left / 5 - d.connections();
-  if (clients < kLeastClients)
+std::int64_t clientsBeside(const Config& c, const DaemonFile& d, std::int64_t least) {
+  const std::int64_t most = leftOf(c) - leftOf(c) / 5;
+  if (d.connections() > most - least)
     throw std::runtime_error("the doors' max_connections are " + std::to_string(d.connections()) +
-                             " together: at most " + std::to_string(left - left / 5 - kLeastClients) +
-                             " are expected with limits.sockets " + std::to_string(c.sockets));
+                             " together: at most " + std::to_string(most - least) +
+                             " are expected with limits.sockets " + std::to_string(c.sockets) +
+                             (d.site ? " and limits.calls " + std::to_string(c.settings.slots) : ""));
+  return most - d.connections();
+}
+// Of the platform's door. Standing alone there is none: all clients come by the doors of the daemon file.
+RespDoor::Limits clientLimits(const Config& c, const DaemonFile& d) {
+  const std::int64_t clients = clientsBeside(c, d, kLeastClients);
   return {static_cast<std::size_t>(clients),
           static_cast<std::size_t>(std::min(clients, c.sockets / kProvenPart))};
 }
@@ -63,16 +69,6 @@
   std::size_t owed_ = 0;
 };
 
-// Standing alone, all connections of clients are those of the daemon file's doors.
-void checkConnections(const Config& c, const DaemonFile& d) {
-  const std::int64_t most = leftOf(c) - leftOf(c) / 5;
-  if (d.connections() > most)
-    throw std::runtime_error("the doors' max_connections are " + std::to_string(d.connections()) +
-                             " together: at most " + std::to_string(most) +
-                             " are expected with limits.sockets " + std::to_string(c.sockets) +
-                             " and limits.calls " + std::to_string(c.settings.slots));
-}
-
 class Service {
  public:
   Service(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon,
@@ -83,7 +79,7 @@
         look_(io),
         worker_(io),
         doors_(io) {
-    if (alone()) checkConnections(config_, daemon_);
+    if (alone()) clientsBeside(config_, daemon_, 0);
     else
       clients_ = std::make_unique<RespDoor>(io, parseAddress(config_.listen), clientLimits(config_, daemon_));
     if (!recording.path.empty())
@@ -178,18 +174,15 @@
         throw std::runtime_error(
             alone() ? "it has no [[class]] and [[partner]] any more"
                     : "[[class]], [[partner]], [limits] and [journal] are given by GW_CONFIG");
-      if (alone()) checkConnections(config_, fresh);
+      if (alone()) clientsBeside(config_, fresh, 0);
       const RespDoor::Limits limits = alone() ? RespDoor::Limits{} : clientLimits(config_, fresh);
       doors_.change(fresh.doors);
       if (clients_) clients_->setLimits(limits);
       const std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
       if (alone()) {
         // What is heeded at the next start only stays as it was, so that it is told again.
-        Site now = std::move(*fresh.site);
-        std::swap(now.settings, daemon_.site->settings);
-        now.folder = daemon_.site->folder;
-        now.disk_bytes = daemon_.site->disk_bytes;
-        now.sockets = daemon_.site->sockets;
+        Site now = *daemon_.site;
+        now.partners = std::move(fresh.site->partners);
         fresh.site = std::move(now);
       }
       daemon_ = std::move(fresh);
--- a/src/membership/partners.cpp
+++ b/src/membership/partners.cpp
@@ -6,8 +6,7 @@
 namespace grademux {
 
 std::int64_t numberOfName(const std::string& name) {
-  std::uint64_t h = 14695981039346656037ull;
-  for (const char c : name) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  const std::uint64_t h = fnv1a(name.data(), name.size());
   return static_cast<std::int64_t>((h ^ h >> 32) & 0x7fffffff);
 }
 
