--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -1,9 +1,8 @@
 // grademux: the admission chain; see admission.h.
 #include "admission.h"
 
-#include <iostream>
-
 #include "../core/clock.h"
+#include "../log/log.h"
 
 namespace grademux {
 
@@ -39,7 +38,7 @@
     steps_[step]->take(submission, [this, ticket, step](const Verdict& v) { judged(ticket, step, v); });
   } catch (const std::exception& e) {
     // Guards the process, and the client's one answer, against a step that fails.
-    std::cerr << "admission: " << steps_[step]->name() << ": " << e.what() << '\n';
+    log::write(log::Event::admission_step_failed, {{"step", steps_[step]->name()}, {"cause", e.what()}});
     judged(ticket, step, Verdict::refuse(pause_));
   }
 }
@@ -59,7 +58,7 @@
 void Admission::refuse(std::uint64_t ticket) {
   auto it = waiting_.find(ticket);
   if (it == waiting_.end()) return;
-  std::cerr << "admission: " << steps_[it->second.step]->name() << ": no verdict in time\n";
+  log::write(log::Event::admission_step_late, {{"step", steps_[it->second.step]->name()}});
   judged(ticket, it->second.step, Verdict::refuse(pause_));
 }
 
--- a/src/carriers/http/http_carrier.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "../../core/clock.h"
+#include "../../log/log.h"
 #include "../../net/address.h"
 
 namespace grademux {
@@ -81,6 +82,18 @@
 
 }  // namespace
 
+namespace {
+void tellEnd(const std::pair<std::string, int>& call, const std::string& endpoint, Result r) {
+  static const char* const kNames[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
+                                       "reset", "cancelled", "not_sent"};
+  if (log::on(log::Event::attempt_ended))
+    log::write(log::Event::attempt_ended, {{"message", call.first},
+                                           {"endpoint", endpoint},
+                                           {"attempt", call.second},
+                                           {"outcome", kNames[static_cast<std::size_t>(r)]}});
+}
+}  // namespace
+
 HttpCarrier::HttpCarrier(asio::io_context& io, Limits limits, OnOutcome on_outcome)
     : io_(io), limits_(limits), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
 
@@ -143,6 +156,7 @@
   o.report = reportOf(answer);
   // The module keeps its own count of idle connections: one is kept after the same outcomes as there.
   const bool kept = o.result == Result::ok || o.result == Result::error || o.result == Result::full;
+  tellEnd(id, it->second.endpoint, o.result);
   Call call = std::move(it->second);
   calls_.erase(it);
   if (kept) keep(call);
@@ -164,6 +178,7 @@
   auto it = calls_.find({id, attempt});
   if (it == calls_.end()) return;
   const Micros began = it->second.began;
+  tellEnd({id, attempt}, it->second.endpoint, Result::cancelled);
   calls_.erase(it);  // closes the connection
   report({id, attempt}, Result::cancelled, began);
 }
--- a/src/daemon/toml_table.cpp
+++ b/src/config/toml_table.cpp
@@ -1,6 +1,7 @@
 // grademux: a table of the daemon file; see toml_table.h.
 #include "toml_table.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdlib>
 #include <sstream>
@@ -48,12 +49,35 @@
     if (value >= u.times && value / u.times < value / best->times &&
         value / u.times == std::floor(value / u.times))
       best = &u;
-  std::string n = std::to_string(static_cast<std::int64_t>(value / best->times));
+  const std::string n = std::to_string(static_cast<std::int64_t>(value / best->times));
   return "\"" + n + " " + best->name + "\"";
 }
 
 }  // namespace
 
+std::string nearest(const std::string& word, const std::vector<std::string>& names) {
+  std::string best;
+  std::size_t least = SIZE_MAX;
+  for (const std::string& name : names) {
+    std::vector<std::size_t> row(name.size() + 1);
+    for (std::size_t j = 0; j <= name.size(); ++j) row[j] = j;
+    for (std::size_t i = 1; i <= word.size(); ++i) {
+      std::size_t diagonal = row[0];
+      row[0] = i;
+      for (std::size_t j = 1; j <= name.size(); ++j) {
+        const std::size_t other = diagonal + (word[i - 1] != name[j - 1]);
+        diagonal = row[j];
+        row[j] = std::min({row[j] + 1, row[j - 1] + 1, other});
+      }
+    }
+    if (row.back() < least && row.back() * 3 <= std::max(word.size(), name.size())) {
+      least = row.back();
+      best = name;
+    }
+  }
+  return best;
+}
+
 std::string Mistake::in(const std::string& path) const {
   return path + ":" + std::to_string(line) + ":" + std::to_string(column) + ": " + what;
 }
@@ -70,20 +94,32 @@
   return table_.get(key);
 }
 
+template <class Value>
+Value Table::inForce(const char* key, Value value, const std::string& shown) {
+  const toml::node* n = table_.get(key);
+  if (effective_) effective_->push_back({named(key), shown, n ? n->source().begin.line : 0});
+  return value;
+}
+
 std::int64_t Table::whole(const char* key, std::int64_t otherwise, std::int64_t least, std::int64_t most) {
   const toml::node* n = node(key);
-  if (!n) return otherwise;
+  if (!n) return inForce(key, otherwise, std::to_string(otherwise));
   const auto v = n->is_integer() ? n->value<std::int64_t>() : std::nullopt;
-  if (v && *v >= least && *v <= most) return *v;
+  if (v && *v >= least && *v <= most) return inForce(key, *v, std::to_string(*v));
   expected(key,
            "a whole number from " + std::to_string(least) + " to " + std::to_string(most) + " is expected");
   return otherwise;
 }
 double Table::real(const char* key, double otherwise, double least, double most) {
   const toml::node* n = node(key);
-  if (!n) return otherwise;
+  const auto shownReal = [](double x) {
+    std::ostringstream out;
+    out << x;
+    return out.str();
+  };
+  if (!n) return inForce(key, otherwise, shownReal(otherwise));
   const auto v = n->is_number() ? n->value<double>() : std::nullopt;
-  if (v && *v >= least && *v <= most) return *v;
+  if (v && *v >= least && *v <= most) return inForce(key, *v, shownReal(*v));
   std::ostringstream range;
   range << "a number from " << least << " to " << most << " is expected";
   expected(key, range.str());
@@ -91,29 +127,32 @@
 }
 bool Table::truth(const char* key, bool otherwise) {
   const toml::node* n = node(key);
-  if (!n) return otherwise;
-  if (n->is_boolean()) return *n->value<bool>();
+  const bool v = n && n->is_boolean() ? *n->value<bool>() : otherwise;
+  if (!n || n->is_boolean()) return inForce(key, v, v ? "true" : "false");
   expected(key, "true or false is expected");
   return otherwise;
 }
 std::string Table::text(const char* key, const std::string& otherwise) {
   const toml::node* n = node(key);
-  if (!n && !otherwise.empty()) return otherwise;
+  if (!n && !otherwise.empty()) return inForce(key, otherwise, "\"" + otherwise + "\"");
   const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
-  if (v && !v->empty()) return *v;
+  if (v && !v->empty()) return inForce(key, *v, "\"" + *v + "\"");
   expected(key, "a text is expected");
   return otherwise;
 }
 std::string Table::word(const char* key, std::initializer_list<const char*> words, const char* otherwise) {
   const toml::node* n = node(key);
-  if (!n && otherwise) return otherwise;
+  if (!n && otherwise) return inForce(key, std::string(otherwise), "\"" + std::string(otherwise) + "\"");
   const auto v = n && n->is_string() ? n->value<std::string>() : std::nullopt;
   std::string all;
+  std::vector<std::string> names;
   for (const char* w : words) {
-    if (v && *v == w) return *v;
+    if (v && *v == w) return inForce(key, *v, "\"" + *v + "\"");
     all += (all.empty() ? "\"" : " or \"") + std::string(w) + "\"";
+    names.emplace_back(w);
   }
-  expected(key, all + " is expected");
+  const std::string meant = v ? nearest(*v, names) : "";
+  expected(key, all + " is expected" + (meant.empty() ? "" : "; \"" + meant + "\" may be meant"));
   return {};
 }
 std::vector<std::string> Table::texts(const char* key) {
@@ -125,15 +164,17 @@
     expected(key, "a list of texts is expected");
   else
     for (const toml::node& i : *list) all.push_back(*i.value<std::string>());
-  return all;
+  std::string shownList;
+  for (const std::string& s : all) shownList += (shownList.empty() ? "\"" : ", \"") + s + "\"";
+  return inForce(key, all, "[" + shownList + "]");
 }
 Micros Table::span(const char* key, Micros otherwise, Micros least, Micros most) {
   const toml::node* n = node(key);
-  if (!n) return otherwise;
+  if (!n) return inForce(key, otherwise, shown(static_cast<double>(otherwise), kTimes));
   const auto v = n->is_string() ? n->value<std::string>() : std::nullopt;
   double us = 0;
   if (v && quantity(*v, kTimes, us) && us >= static_cast<double>(least) && us <= static_cast<double>(most))
-    return std::llround(us);
+    return inForce(key, Micros{std::llround(us)}, "\"" + *v + "\"");
   expected(key, "a time with its unit (us, ms, s, min, h, d) from " +
                     shown(static_cast<double>(least), kTimes) + " to " +
                     shown(static_cast<double>(most), kTimes) + " is expected, as \"250 ms\"");
@@ -141,12 +182,12 @@
 }
 std::int64_t Table::size(const char* key, std::int64_t otherwise, std::int64_t least, std::int64_t most) {
   const toml::node* n = node(key);
-  if (!n) return otherwise;
+  if (!n) return inForce(key, otherwise, shown(static_cast<double>(otherwise), kSizes));
   const auto v = n->is_string() ? n->value<std::string>() : std::nullopt;
   double bytes = 0;
   if (v && quantity(*v, kSizes, bytes) && bytes >= static_cast<double>(least) &&
       bytes <= static_cast<double>(most))
-    return std::llround(bytes);
+    return inForce(key, std::int64_t{std::llround(bytes)}, "\"" + *v + "\"");
   expected(key, "a size with its unit (B, KB, MB, GB, KiB, MiB, GiB) from " +
                     shown(static_cast<double>(least), kSizes) + " to " +
                     shown(static_cast<double>(most), kSizes) + " is expected, as \"256 MiB\"");
@@ -159,7 +200,7 @@
   try {
     if (v) out = parseAddress(*v);
   } catch (const std::invalid_argument&) {}
-  if (v && out.port() != 0) return true;
+  if (v && out.port() != 0) return inForce(key, true, "\"" + *v + "\"");
   expected(key, "an address and a port from 1 to 65535 are expected, as \"127.0.0.1:8080\"");
   return false;
 }
@@ -179,10 +220,13 @@
 void Table::unknown(const std::string& where) {
   std::string all;
   for (const std::string& k : known_) all += (all.empty() ? "" : ", ") + k;
-  for (const auto& [key, value] : table_)
-    if (!known_.count(std::string(key.str())))
-      mistake(key.source(),
-              "unknown key " + std::string(key.str()) + where + ": one of " + all + " is expected");
+  for (const auto& [key, value] : table_) {
+    const std::string name(key.str());
+    if (known_.count(name)) continue;
+    const std::string meant = nearest(name, {known_.begin(), known_.end()});
+    mistake(key.source(), "unknown key " + name + where + ": one of " + all + " is expected" +
+                              (meant.empty() ? "" : "; " + meant + " may be meant"));
+  }
 }
 
 }  // namespace grademux
--- a/src/daemon/toml_table.h
+++ b/src/config/toml_table.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "grademux/settings.h"
+#include "grademux/sender.h"
 
 namespace grademux {
 
@@ -21,10 +21,22 @@
   std::string in(const std::string& path) const;
 };
 
+// A value that is in force, and where it comes from.
+struct Effective {
+  std::string key, value;  // the value as the file writes it
+  std::int64_t line = 0;   // 0: nothing is said there, the value is the program's own
+};
+
+// The name that is meant most likely: at most a third of its letters differ (edit distance by Levenshtein).
+// Empty if there is none.
+std::string nearest(const std::string& word, const std::vector<std::string>& names);
+
 class Table {
  public:
-  Table(const toml::table& t, std::string name, std::vector<Mistake>& mistakes)
-      : table_(t), name_(std::move(name)), mistakes_(mistakes) {}
+  // `effective`: what was asked for is added there, if it isn't null.
+  Table(const toml::table& t, std::string name, std::vector<Mistake>& mistakes,
+        std::vector<Effective>* effective = nullptr)
+      : table_(t), name_(std::move(name)), mistakes_(mistakes), effective_(effective) {}
 
   void mistake(const toml::source_region& at, const std::string& what);
   void mistake(const std::string& what) { mistake(table_.source(), what); }
@@ -49,11 +61,14 @@
   void unknown(const std::string& where);
 
  private:
+  template <class Value>
+  Value inForce(const char* key, Value value, const std::string& shown);
   std::string named(const char* key) const { return name_.empty() ? key : name_ + "." + key; }
 
   const toml::table& table_;
   std::string name_;
   std::vector<Mistake>& mistakes_;
+  std::vector<Effective>* effective_;
   std::set<std::string> known_;
 };
 
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iostream>
 
+#include "../log/log.h"
 #include "clock.h"
 
 namespace grademux {
@@ -34,8 +34,8 @@
 
 void Host::recover(const json& known) {
   const Journal::Recovered& r = journal_.recovered();
-  if (r.damaged > 0) std::cerr << "journal: " << r.damaged << " damaged stretches passed over\n";
-  if (r.torn) std::cerr << "journal: a torn tail was cut\n";
+  if (r.damaged > 0) log::write(log::Event::journal_damaged, {{"stretches", r.damaged}});
+  if (r.torn) log::write(log::Event::journal_torn);
   // The newer of the two lists: a drain that was heard before the restart still counts.
   json list = known;
   if (r.list_index >= 0 && (!list.is_object() || r.list_index >= number(list, "index", -1))) {
@@ -75,7 +75,7 @@
       m.attempts.push_back({a.endpoint, a.sent + shift, !a.never_ran});
     events_.push_back(std::move(m));
   }
-  if (!r.entries.empty()) std::cerr << "journal: " << r.entries.size() << " messages resumed\n";
+  if (!r.entries.empty()) log::write(log::Event::journal_resumed, {{"messages", r.entries.size()}});
   journal_.forgetRecovered();
   if (!events_.empty()) turn();
 }
@@ -101,7 +101,7 @@
   }
   // Sends are made in turns alone, so none goes before the module has heard this.
   if (!journal_.listed(kept, s.index, s.whole))
-    std::cerr << "journal: the list of " << list_.size() << " endpoints is too large to be kept\n";
+    log::write(log::Event::journal_list_too_large, {{"endpoints", list_.size()}});
   const Micros now = monotonicNow();
   for (const std::int64_t d : s.unlisted) {
     left_[d] = now;
@@ -265,7 +265,7 @@
     sends.emplace_back(s, it->second.attempts++);
   }
   const bool kept = journal_.flush();
-  if (!kept) std::cerr << "journal: could not be written\n";
+  if (!kept) log::write(log::Event::journal_write_failed);
   std::set<std::string> fresh;  // an answer may bring the next submission
   fresh.swap(fresh_);
   for (const std::string& id : fresh) {
@@ -332,6 +332,9 @@
 // journal remembers it.
 void Host::over(const std::string& id, const End& end) {
   auto it = held_.find(id);
+  if (log::on(log::Event::message_ended))
+    log::write(log::Event::message_ended,
+               {{"message", id}, {"outcome", nameOf(end.how)}, {"attempts", it->second.attempts}});
   ended_[id] = {end, std::move(it->second.watchers)};
   held_.erase(it);
   journal_.forgetPast(unixNow());
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace grademux {
@@ -17,7 +18,7 @@
 }
 
 void readDoor(const toml::table& t, DaemonFile& file, std::vector<Mistake>& mistakes) {
-  Table door(t, "door", mistakes);
+  Table door(t, "door", mistakes, &file.effective);
   DoorSpec spec;
   const std::string kind = door.word("kind", {"http", "resp"});
   spec.kind = kind == "resp" ? DoorKind::resp : DoorKind::http;
@@ -46,6 +47,36 @@
   file.doors.push_back(spec);
 }
 
+void readLog(const toml::table& table, DaemonFile& file, std::vector<Mistake>& mistakes) {
+  Table t(table, "log", mistakes, &file.effective);
+  log::Spec& l = file.log;
+  const auto level = [](Table& of, const char* key, log::Level otherwise) {
+    const std::string name =
+        of.word(key, {"debug", "info", "warning", "error", "off"}, log::nameOf(otherwise));
+    log::levelOf(name, otherwise);
+    return otherwise;
+  };
+  l.json = t.word("form", {"text", "json"}, "text") == "json";
+  if (t.node("file")) l.file = placed(t.text("file", ""), file.path);
+  l.level = level(t, "level", l.level);
+  l.rate = t.real("rate", l.rate, 0, 1e6);
+  l.burst = t.real("burst", l.burst, 1, 1e6);
+  if (const toml::node* parts = t.node("parts")) {
+    if (!parts->is_table()) {
+      t.expected("parts", "a table is expected, begun by [log.parts]");
+    } else {
+      Table p(*parts->as_table(), "log.parts", mistakes, &file.effective);
+      std::set<std::string> known;
+      for (const log::EventSpec& e : log::kEvents)
+        known.insert(std::string(e.name).substr(0, std::string(e.name).find('.')));
+      for (const std::string& part : known)
+        if (p.node(part.c_str())) l.parts[part] = level(p, part.c_str(), l.level);
+      p.unknown(" in log.parts");
+    }
+  }
+  t.unknown(" in log");
+}
+
 }  // namespace
 
 std::int64_t DaemonFile::connections() const {
@@ -61,8 +92,12 @@
     const toml::table root = toml::parse(text, path);
     Table top(root, "", mistakes);
     for (const toml::table* d : top.tables("door")) readDoor(*d, file, mistakes);
+    if (const toml::node* n = top.node("log")) {
+      if (n->is_table()) readLog(*n->as_table(), file, mistakes);
+      else top.expected("log", "a table is expected, begun by [log]");
+    }
     Site site;
-    if (readSite(top, site, mistakes)) {
+    if (readSite(top, path, site, mistakes, &file.effective)) {
       if (file.doors.empty()) top.mistake("a program that stands alone needs a [[door]]");
       file.site = std::move(site);
     }
--- a/src/daemon/daemon_file.h
+++ b/src/daemon/daemon_file.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../doors/http/server.h"
+#include "../log/log.h"
 #include "site.h"
 
 namespace grademux {
@@ -23,7 +24,9 @@
 struct DaemonFile {
   std::string path;
   std::vector<DoorSpec> doors;
-  std::optional<Site> site;  // there if the program can stand alone by this file
+  log::Spec log;
+  std::optional<Site> site;          // there if the program can stand alone by this file
+  std::vector<Effective> effective;  // every value, in the order of reading
   // Connections of all doors together.
   std::int64_t connections() const;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -14,14 +14,50 @@
 
 constexpr int kUnusable = 2;  // the exit status when configuration or command line can't be used
 
-int check(const std::string& path) {
+// Files and folders of partners, read as at a start: mistakes, and what stands against one another.
+bool checkSources(const SourcesSpec& sources, PartnerTable& table) {
+  bool good = true;
+  const auto told = [&](const std::string& line) {
+    std::cout << line << '\n';
+    good = false;
+  };
+  table.declare("daemon file", sources.partners);
+  for (const FolderSpec& f : sources.folders) {
+    bool unsettled = false;
+    FolderNews news = FolderReader(f, sources.defaults).look(false, unsettled);
+    if (!news.unreadable.empty()) told(f.path + ": " + news.unreadable);
+    for (UnitChange& c : news.changes) {
+      for (const Mistake& m : c.mistakes) told(m.in(c.unit));
+      if (c.mistakes.empty()) table.declare(c.unit, std::move(c.partners));
+    }
+  }
+  for (const PartnerTable::Conflict& c : table.take().conflicts)
+    told(c.unit + ": partner " + c.partner +
+         (c.endpoint.empty() ? " or its number is also in " : ": " + c.endpoint + " is an endpoint of ") +
+         c.owner);
+  return good;
+}
+
+int check(const std::string& path, bool effective) {
   std::vector<Mistake> mistakes;
   const DaemonFile file = readDaemonFile(path, mistakes);
   for (const Mistake& m : mistakes) std::cout << m.in(path) << '\n';
-  if (!mistakes.empty()) return kUnusable;
+  PartnerTable table;
+  const bool good = !file.site || checkSources(file.site->sources, table);
+  if (!mistakes.empty() || !good) return kUnusable;
+  if (effective) {
+    std::size_t widest = 0;
+    for (const Effective& e : file.effective) widest = std::max(widest, e.key.size() + e.value.size() + 3);
+    for (const Effective& e : file.effective) {
+      const std::string line = e.key + " = " + e.value;
+      std::cout << line << std::string(widest - line.size() + 2, ' ') << "# "
+                << (e.line > 0 ? path + ":" + std::to_string(e.line) : "default") << '\n';
+    }
+    return 0;
+  }
   std::cout << path << ": good, " << file.doors.size() << " doors";
   if (file.site)
-    std::cout << ", " << file.site->settings.classes.size() << " classes, " << file.site->partners.size()
+    std::cout << ", " << file.site->settings.classes.size() << " classes, " << table.partners()
               << " partners";
   std::cout << '\n';
   return 0;
@@ -60,6 +96,7 @@
       daemon = readDaemonFile(path, mistakes);
       for (const Mistake& m : mistakes) std::cerr << m.in(path) << '\n';
       if (!mistakes.empty()) return kUnusable;
+      log::configure(daemon.log);
     }
     const bool platform = std::getenv("GW_CONFIG") && *std::getenv("GW_CONFIG");
     if (platform && daemon.site)
@@ -98,6 +135,8 @@
   CLI::App* checks =
       app.add_subcommand("check", "checks a daemon file: a line for each mistake, exit status 2");
   checks->add_option("FILE", file, "the daemon file")->required();
+  bool effective = false;
+  checks->add_flag("--effective", effective, "prints every value in force and where it comes from");
   std::string folder = ".";
   CLI::App* inits = app.add_subcommand("init", "writes a daemon file to begin with, FOLDER/grademux.toml");
   inits->add_option("FOLDER", folder, "made if it isn't there (.)");
@@ -109,5 +148,5 @@
   } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : kUnusable; }
   recording.most_bytes = most_mb << 20;
   if (inits->parsed()) return init(folder);
-  return checks->parsed() ? check(file) : run(daemon, recording);
+  return checks->parsed() ? check(file, effective) : run(daemon, recording);
 }
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -2,7 +2,6 @@
 #include "service.h"
 
 #include <csignal>
-#include <iostream>
 #include <stdexcept>
 
 #include "../admission/admission.h"
@@ -11,7 +10,9 @@
 #include "../core/host.h"
 #include "../discovery/discovery.h"
 #include "../doors/resp/server.h"
-#include "../membership/partners.h"
+#include "../log/log.h"
+#include "../membership/partner_names.h"
+#include "../membership/sources.h"
 #include "../net/address.h"
 #include "../replay/recorder.h"
 #include "doors.h"
@@ -27,6 +28,8 @@
 // more can always come.
 constexpr std::int64_t kProvenPart = 4;
 constexpr std::int64_t kLeastClients = 8;
+// A client comes back after this while a partner's name has no address yet.
+constexpr Micros kUnresolved = 1'000'000;
 // A step of the admission chain has so long: a client waits 400 ms for its answer.
 constexpr Micros kPatience = 300'000;
 
@@ -73,7 +76,8 @@
  public:
   Service(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon,
           const Recording& recording)
-      : signals_(signals),
+      : io_(io),
+        signals_(signals),
         config_(std::move(config)),
         daemon_(std::move(daemon)),
         look_(io),
@@ -108,30 +112,35 @@
       host_->tap([this](Micros now, const std::vector<Event>& events, const std::vector<Action>& actions) {
         recorder_->turn(now, events, actions);
       });
-    host_->recover(config_.known);
+    const Membership::Hear hear = [this](ListAnswer answer) { return host_->list(std::move(answer)); };
     if (alone()) {
-      auto names = std::make_unique<PartnerNames>();
-      names_ = names.get();
-      admission_->add(std::move(names));
-      listPartners();
+      auto sources = std::make_unique<PartnerSources>(io, worker_, daemon_.site->sources,
+                                                      journal_->recovered().list, hear);
+      sources_ = sources.get();
+      membership_ = std::move(sources);
+      admission_->add(std::make_unique<PartnerNames>(sources_->table(), kUnresolved));
     } else {
-      watcher_ =
-          std::make_unique<Watcher>(Agent(io, agent, config_.discovery), worker_,
-                                    [this](ListAnswer answer) { return host_->list(std::move(answer)); });
-      watcher_->start(host_->version());
-      clients_->start(*admission_);
+      auto watcher = std::make_unique<Watcher>(Agent(io, agent, config_.discovery), worker_, hear);
+      watcher_ = watcher.get();
+      membership_ = std::move(watcher);
     }
+    host_->recover(config_.known);
+    membership_->start(host_->version());
+    if (clients_) clients_->start(*admission_);
     doors_.start(*admission_);
     nextSignal();
   }
 
+  void tellReady() const {
+    log::write(log::Event::daemon_ready, {{"version", GRADEMUX_VERSION},
+                                          {"doors", doors_.count() + (clients_ ? 1 : 0)},
+                                          {"partners", partners()}});
+  }
+
  private:
   bool alone() const { return config_.discovery.empty(); }
 
-  void listPartners() {
-    names_->set(daemon_.site->partners);
-    host_->list(listOf(daemon_.site->partners, host_->version() + 1));
-  }
+  std::size_t partners() const { return sources_ ? sources_->table().partners() : 0; }
 
   void nextSignal() {
     signals_.async_wait([this](const boost::system::error_code& e, int number) {
@@ -148,8 +157,7 @@
       Config fresh = readConfig();
       clientLimits(fresh, daemon_);
       const std::string later = needsRestart(config_, fresh);
-      std::cerr << "reloaded, discovery at " << fresh.discovery
-                << (later.empty() ? "" : "; changed and needs a restart: ") << later << '\n';
+      log::write(log::Event::daemon_reloaded, {{"discovery", fresh.discovery}, {"needs_restart", later}});
       if (fresh.discovery != config_.discovery) {
         const tcp::endpoint moved = parseAddress(fresh.discovery);
         watcher_->moveTo(moved, fresh.discovery);
@@ -157,48 +165,54 @@
       }
       config_ = std::move(fresh);
     } catch (const std::exception& e) {
-      std::cerr << "the new configuration is not used: " << e.what() << '\n';
+      log::write(log::Event::daemon_config_refused, {{"cause", e.what()}});
     }
     if (!daemon_.path.empty()) reloadDaemonFile();
+    membership_->refresh();
   }
 
   void reloadDaemonFile() {
     std::vector<Mistake> mistakes;
     DaemonFile fresh = readDaemonFile(daemon_.path, mistakes);
     try {
-      if (!mistakes.empty())
-        throw std::runtime_error(
-            mistakes[0].in(daemon_.path) +
-            (mistakes.size() > 1 ? " (the first of " + std::to_string(mistakes.size()) + ")" : ""));
+      if (!mistakes.empty()) throw std::runtime_error(mistakes[0].in(daemon_.path));
       if (fresh.site.has_value() != alone())
         throw std::runtime_error(
             alone() ? "it has no [[class]] and [[partner]] any more"
-                    : "[[class]], [[partner]], [limits] and [journal] are given by GW_CONFIG");
+                    : "[[class]], [[partner]], [[source]], [dns], [limits] and [journal] are given by "
+                      "GW_CONFIG");
       if (alone()) clientsBeside(config_, fresh, 0);
       const RespDoor::Limits limits = alone() ? RespDoor::Limits{} : clientLimits(config_, fresh);
-      doors_.change(fresh.doors);
+      // What can fail first; each leaves all as it was if it does.
+      log::configure(fresh.log);
+      try {
+        if (alone()) DnsClient(io_, fresh.site->sources.dns);
+        doors_.change(fresh.doors);
+      } catch (...) {
+        log::configure(daemon_.log);
+        throw;
+      }
       if (clients_) clients_->setLimits(limits);
       const std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
       if (alone()) {
         // What is heeded at the next start only stays as it was, so that it is told again.
         Site now = *daemon_.site;
-        now.partners = std::move(fresh.site->partners);
+        now.sources = std::move(fresh.site->sources);
         fresh.site = std::move(now);
       }
       daemon_ = std::move(fresh);
-      if (alone()) listPartners();
-      std::cerr << "daemon file reloaded: " << doors_.count() << " doors";
-      if (alone()) std::cerr << ", " << daemon_.site->partners.size() << " partners";
-      std::cerr << (later.empty() ? "" : "; changed and needs a restart: ") << later << '\n';
+      if (sources_) sources_->change(daemon_.site->sources);
+      log::write(log::Event::daemon_file_reloaded,
+                 {{"doors", doors_.count()}, {"partners", partners()}, {"needs_restart", later}});
     } catch (const std::exception& e) {
-      std::cerr << "the new daemon file is not used: " << e.what() << '\n';
+      log::write(log::Event::daemon_file_refused, {{"cause", e.what()}, {"mistakes", mistakes.size()}});
     }
   }
 
   void stop() {
     if (stop_from_ != 0) return;
     stop_from_ = monotonicNow();
-    std::cerr << "stopping\n";
+    log::write(log::Event::daemon_stopping);
     if (clients_) clients_->drain(Leaving::stopping);
     doors_.drain();
     admission_->drain();
@@ -220,6 +234,7 @@
     });
   }
 
+  boost::asio::io_context& io_;
   boost::asio::signal_set& signals_;
   Config config_;
   DaemonFile daemon_;
@@ -233,8 +248,9 @@
   std::unique_ptr<HttpCarrier> carrier_;
   std::unique_ptr<Host> host_;
   std::unique_ptr<Admission> admission_;
-  PartnerNames* names_ = nullptr;  // a step of it, standing alone
-  std::unique_ptr<Watcher> watcher_;
+  std::unique_ptr<Membership> membership_;
+  PartnerSources* sources_ = nullptr;  // the same, standing alone
+  Watcher* watcher_ = nullptr;         // the same, on a platform
   Doors doors_;                        // last: they hold answers that what stands above owes
   std::unique_ptr<RespDoor> clients_;  // the platform's
 };
@@ -244,8 +260,9 @@
 void serve(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon,
            const Recording& recording) {
   Service service(io, signals, std::move(config), std::move(daemon), recording);
-  std::cerr << "ready\n";
+  service.tellReady();
   io.run();
+  log::finish();
 }
 
 }  // namespace grademux
--- a/src/daemon/site.cpp
+++ b/src/daemon/site.cpp
@@ -7,11 +7,17 @@
 #include <random>
 
 #include "../decision/check.h"
-#include "../net/address.h"
+#include "../membership/partner_file.h"
 #include "../replay/stream_codec.h"
 
 namespace grademux {
 
+std::string placed(const std::string& path, const std::string& daemon_file) {
+  const std::filesystem::path p(path);
+  if (path.empty() || p.is_absolute()) return path;
+  return (std::filesystem::path(daemon_file).parent_path() / p).lexically_normal().string();
+}
+
 namespace {
 
 constexpr Micros kMs = 1000, kSecond = 1'000'000, kDay = 24 * 3600 * kSecond;
@@ -36,33 +42,33 @@
   return c;
 }
 
-bool isAddress(const std::string& s) {
-  try {
-    return parseAddress(s).port() != 0;
-  } catch (const std::invalid_argument&) { return false; }
+void readDns(Table& t, SourcesSpec& sources) {
+  DnsServers& d = sources.dns;
+  d.servers = t.texts("servers");
+  for (const std::string& a : d.servers)
+    if (!isEndpointAddress(a)) t.expected("servers", "an address and a port are expected, not \"" + a + "\"");
+  d.timeout = t.span("timeout", d.timeout, 10 * kMs, 60 * kSecond);
+  d.tries = static_cast<int>(t.whole("tries", d.tries, 1, 10));
+  DnsLimits& l = sources.dns_limits;
+  l.least_ttl = t.span("least_ttl", l.least_ttl, 100 * kMs, kDay);
+  l.most_ttl = t.span("most_ttl", l.most_ttl, 100 * kMs, kDay);
+  if (l.most_ttl < l.least_ttl) t.expected("most_ttl", "no less than least_ttl is expected");
+  l.least_retry = t.span("least_retry", l.least_retry, 100 * kMs, kDay);
+  l.most_retry = t.span("most_retry", std::max(l.most_retry, l.least_retry), 100 * kMs, kDay);
+  if (l.most_retry < l.least_retry) t.expected("most_retry", "no less than least_retry is expected");
+  sources.defaults.allow = t.texts("allow");
+  checkNetworks(t, "allow", sources.defaults.allow);
+  t.unknown(" in dns");
 }
 
-Partner readPartner(Table& t) {
-  Partner p;
-  p.name = t.text("name", "");
-  const bool number = std::all_of(p.name.begin(), p.name.end(), [](char c) { return c >= '0' && c <= '9'; });
-  if (!p.name.empty() && (number || !usableToken(p.name) || p.name.find_first_of("@,=") != std::string::npos))
-    t.expected("name", "printable characters without space, @, comma and =, not digits alone, are expected");
-  p.number = t.whole("number", numberOfName(p.name), 0, 1LL << 53);
-  p.endpoints = t.texts("endpoints");
-  p.draining = t.texts("draining");
-  if (p.endpoints.empty())
-    t.expected("endpoints", "one address and port at least is expected, as [\"127.0.0.1:9001\"]");
-  std::set<std::string> once;
-  for (const std::string& e : p.endpoints) {
-    if (!isAddress(e)) t.expected("endpoints", "an address and a port are expected, not \"" + e + "\"");
-    if (!once.insert(e).second) t.expected("endpoints", e + " stands there twice");
-  }
-  for (const std::string& e : p.draining)
-    if (!once.count(e)) t.expected("draining", e + " is not one of the endpoints");
-  p.rate = t.real("rate", 0, 0, 1e7);
-  t.unknown(" in a partner");
-  return p;
+FolderSpec readSource(Table& t, const std::string& daemon_file) {
+  FolderSpec f;
+  f.folder = t.word("kind", {"folder", "file"}) != "file";
+  f.path = placed(t.text("path", ""), daemon_file);
+  while (f.path.size() > 1 && f.path.back() == '/') f.path.pop_back();
+  f.rescan = t.span("rescan", f.rescan, 100 * kMs, kDay);
+  t.unknown(" in a source");
+  return f;
 }
 
 void readLimits(Table& t, Site& site) {
@@ -85,7 +91,8 @@
 
 }  // namespace
 
-bool readSite(Table& top, Site& site, std::vector<Mistake>& mistakes) {
+bool readSite(Table& top, const std::string& path, Site& site, std::vector<Mistake>& mistakes,
+              std::vector<Effective>* effective) {
   static const toml::table none;
   const auto section = [&](const char* key) -> const toml::table* {
     const toml::node* n = top.node(key);
@@ -93,9 +100,11 @@
     top.expected(key, "a table is expected, begun by [" + std::string(key) + "]");
     return &none;
   };
-  const toml::table *limits = section("limits"), *journal = section("journal");
-  const auto classes = top.tables("class"), partners = top.tables("partner");
-  if (!top.node("limits") && !top.node("journal") && !top.node("class") && !top.node("partner")) return false;
+  const toml::table *limits = section("limits"), *journal = section("journal"), *dns = section("dns");
+  const auto classes = top.tables("class"), partners = top.tables("partner"), sources = top.tables("source");
+  if (!top.node("limits") && !top.node("journal") && !top.node("dns") && !top.node("class") &&
+      !top.node("partner") && !top.node("source"))
+    return false;
 
   Settings& s = site.settings;
   s.kinds = {{"partner", false, 1}};
@@ -104,42 +113,38 @@
   s.drain_grace = 250 * kMs;
   s.order_pause = 500 * kMs;
   s.may_cancel = s.told_pause = true;
-  Table l(*limits, "limits", mistakes), j(*journal, "journal", mistakes);
+  s.weights = WeightKind::nominal;  // a partner's rate; without one its weight tells nothing
+  Table l(*limits, "limits", mistakes, effective), j(*journal, "journal", mistakes, effective),
+      d(*dns, "dns", mistakes, effective);
   readLimits(l, site);
+  readDns(d, site.sources);
   site.folder = j.text("folder", "grademux-state");
   site.disk_bytes = static_cast<std::uint64_t>(j.size("disk", 256 * kMiB, kMiB, 1024LL * 1024 * kMiB));
   j.unknown(" in journal");
   std::set<std::string> names;
   for (const toml::table* c : classes) {
-    Table t(*c, "class", mistakes);
+    Table t(*c, "class", mistakes, effective);
     s.classes.push_back(readClass(t));
     if (!names.insert(s.classes.back().name).second) t.expected("name", "another class has this name");
   }
-  names.clear();
-  std::map<std::int64_t, std::string> numbers;
-  std::map<std::string, std::string> addresses;
-  for (const toml::table* p : partners) {
-    Table t(*p, "partner", mistakes);
-    Partner x = readPartner(t);
-    s.weights = x.rate > 0 ? WeightKind::nominal : s.weights;
-    if (!names.insert(x.name).second) t.expected("name", "another partner has this name");
-    else if (const auto other = numbers.emplace(x.number, x.name); !other.second)
-      t.expected("number", "a number of its own is expected, " + other.first->second + " has " +
-                               std::to_string(x.number));
-    for (const std::string& e : x.endpoints)
-      if (const auto other = addresses.emplace(e, x.name); !other.second && other.first->second != x.name)
-        t.expected("endpoints", e + " is an endpoint of " + other.first->second);
-    site.partners.push_back(std::move(x));
+  site.sources.partners = readPartners(partners, site.sources.defaults, mistakes, effective);
+  for (const toml::table* f : sources) {
+    Table t(*f, "source", mistakes, effective);
+    FolderSpec spec = readSource(t, path);
+    for (const FolderSpec& other : site.sources.folders)
+      if (other.path == spec.path) t.expected("path", "another source has this path");
+    site.sources.folders.push_back(std::move(spec));
   }
   if (classes.empty()) top.mistake("a program that stands alone needs a [[class]]");
-  if (partners.empty()) top.mistake("a program that stands alone needs a [[partner]]");
+  if (partners.empty() && sources.empty())
+    top.mistake("a program that stands alone needs a [[partner]], or a [[source]] of them");
   return true;
 }
 
 Config configOf(const Site& site, const std::string& path) {
   Config c;
   c.path = path;
-  const std::filesystem::path folder = std::filesystem::path(path).parent_path() / site.folder;
+  const std::filesystem::path folder = placed(site.folder, path);
   std::error_code e;
   std::filesystem::create_directories(folder, e);
   if (e)
@@ -210,6 +215,15 @@
 endpoints = ["127.0.0.1:9001"] # POST /hook goes there
 # rate = 50                    # calls a second that it takes
 # draining = []                # of the endpoints: nothing new goes there
+# dns = "shop.example:9001"    # instead of endpoints: what a name server says
+
+# [[source]]                   # more partners, in files that are watched: docs/operate/membership.md
+# kind = "folder"              # each *.toml in it
+# path = "partners"
+
+# [log]                        # docs/operate/log.md
+# form = "json"
+# file = "grademux.log"        # else standard error; opened anew on SIGHUP
 )";
 
 }  // namespace grademux
--- a/src/daemon/site.h
+++ b/src/daemon/site.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "../membership/partners.h"
+#include "../config/toml_table.h"
+#include "../membership/sources.h"
 #include "config.h"
-#include "toml_table.h"
 
 namespace grademux {
 
@@ -16,11 +16,16 @@
   std::string folder;  // of the journal; a relative one is taken from the daemon file's folder
   std::uint64_t disk_bytes = 0;
   std::int64_t sockets = 0;
-  std::vector<Partner> partners;
+  SourcesSpec sources;
 };
 
 // True if the file has any of these tables. What is wrong with them is among the mistakes.
-bool readSite(Table& top, Site& site, std::vector<Mistake>& mistakes);
+// `path`: of the daemon file; relative ones in it begin at its folder.
+bool readSite(Table& top, const std::string& path, Site& site, std::vector<Mistake>& mistakes,
+              std::vector<Effective>* effective = nullptr);
+
+// A path of the daemon file; a relative one begins at the file's folder.
+std::string placed(const std::string& path, const std::string& daemon_file);
 
 // The configuration of a program that stands alone. `path`: of the daemon file.
 Config configOf(const Site& site, const std::string& path);
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -2,7 +2,8 @@
 #include "discovery.h"
 
 #include <future>
-#include <iostream>
+
+#include "../log/log.h"
 
 namespace grademux {
 
@@ -86,7 +87,7 @@
     from_ = on_answer_(read());
   } catch (const std::exception& e) {
     // Guards against one garbled answer ending the watch: the whole list is asked for afresh.
-    std::cerr << "discovery: " << e.what() << '\n';
+    log::write(log::Event::discovery_garbled, {{"cause", e.what()}});
     from_ = -1;
     return agent_.later(kPause, [this] { ask(); });
   }
@@ -127,7 +128,7 @@
       most_ = 1;
       return send();
     }
-    if (unreadable) std::cerr << "notice that can't be read, of message " << owed_.front().first << '\n';
+    if (unreadable) log::write(log::Event::discovery_notice_refused, {{"message", owed_.front().first}});
     if (!unreadable && (a.how != Exchanged::answered || a.status / 100 != 2)) {
       waiting_ = true;
       return agent_.later(kNoticePause, [this] {
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -11,7 +11,7 @@
 
 #include "../core/notices.h"
 #include "../core/worker.h"
-#include "../membership/list.h"
+#include "../membership/membership.h"
 #include "../net/http_connection.h"
 
 namespace grademux {
@@ -33,13 +33,14 @@
   boost::asio::steady_timer timer_;
 };
 
-class Watcher {
+// The platform's membership.
+class Watcher : public Membership {
  public:
-  using OnAnswer = std::function<std::int64_t(ListAnswer)>;  // answers the version from which to go on
   // The loop must not run on once this is gone.
-  Watcher(Agent agent, Worker& worker, OnAnswer on_answer)
+  Watcher(Agent agent, Worker& worker, Hear on_answer)
       : agent_(std::move(agent)), worker_(worker), on_answer_(std::move(on_answer)) {}
-  void start(std::int64_t from);
+  void start(std::int64_t from) override;
+  void refresh() override {}                          // it is told at once of all that changes
   void moveTo(tcp::endpoint peer, std::string host);  // asks there at once, for the whole list
 
  private:
@@ -48,7 +49,7 @@
 
   Agent agent_;
   Worker& worker_;
-  OnAnswer on_answer_;
+  Hear on_answer_;
   std::int64_t from_ = -1;
   std::uint64_t asked_ = 0;  // at which agent: what comes from an earlier one is ignored
 };
--- /dev/null
+++ b/src/membership/name_memory.cpp
@@ -0,0 +1,149 @@
+// grademux: what is known of a name; see name_memory.h.
+#include "name_memory.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <stdexcept>
+
+namespace grademux {
+
+namespace ip = boost::asio::ip;
+
+Networks::Networks(const std::vector<std::string>& texts) {
+  for (const std::string& t : texts) {
+    boost::system::error_code e;
+    const auto v4 = ip::make_network_v4(t, e);
+    if (!e) {
+      v4_.push_back(v4);
+      continue;
+    }
+    const auto v6 = ip::make_network_v6(t, e);
+    if (e) throw std::invalid_argument("not a network: " + t);
+    v6_.push_back(v6);
+  }
+}
+
+bool Networks::allow(const ip::address& a) const {
+  if (a.is_unspecified() || a.is_multicast() || (a.is_v4() && a.to_v4() == ip::address_v4::broadcast()))
+    return false;
+  if (v4_.empty() && v6_.empty()) return true;
+  // An address is of a network if the network of its length around it is the same. (Boost's hosts() leaves
+  // the first and the last out.)
+  if (a.is_v4())
+    return std::any_of(v4_.begin(), v4_.end(), [&](const ip::network_v4& n) {
+      return ip::network_v4(a.to_v4(), n.prefix_length()).canonical() == n.canonical();
+    });
+  return std::any_of(v6_.begin(), v6_.end(), [&](const ip::network_v6& n) {
+    return ip::network_v6(a.to_v6(), n.prefix_length()).canonical() == n.canonical();
+  });
+}
+
+std::string endpointText(const std::string& address, int port) {
+  const bool v6 = address.find(':') != std::string::npos;
+  return (v6 ? "[" + address + "]" : address) + ":" + std::to_string(port);
+}
+
+NameMemory::NameMemory(NameSpec spec, DnsLimits limits)
+    : spec_(std::move(spec)), limits_(limits), networks_(spec_.allow), retry_(limits.least_retry) {}
+
+void NameMemory::adopt(const std::vector<std::string>& endpoints) {
+  if (!targets_.empty() || endpoints.empty()) return;
+  endpoints_ = endpoints;
+  std::sort(endpoints_.begin(), endpoints_.end());
+  old_ = true;
+}
+
+NameMemory::Heard NameMemory::answered(const DnsAnswer& answer, Micros now) {
+  Heard heard;
+  const auto trouble = [&](const std::string& name, const DnsRecords& r) {
+    if (r.kind == DnsRecords::Kind::records) return;
+    if (!heard.trouble.empty()) heard.trouble += "; ";
+    heard.trouble += name + ": " + (r.kind == DnsRecords::Kind::no_name ? "no such name" : r.cause);
+  };
+  Micros ttl = answer.ttl;
+  std::map<Key, Known> fresh;
+  if (answer.kind == DnsRecords::Kind::records) {
+    for (const DnsTarget& t : answer.targets) {
+      Known k;
+      k.priority = t.priority;
+      const auto before = targets_.find({t.host, t.port});
+      const auto part = [&](const DnsRecords& r, const Part* known, const char* type) {
+        Part p;
+        trouble(t.host + " " + type, r);
+        if (r.kind == DnsRecords::Kind::failed) return known ? *known : p;
+        if (!r.addresses.empty()) ttl = std::min(ttl, r.ttl);
+        for (const std::string& a : r.addresses) {
+          boost::system::error_code e;
+          const ip::address parsed = ip::make_address(a, e);
+          if (!e && networks_.allow(parsed)) p.addresses.push_back(a);
+          else heard.forbidden.push_back(endpointText(a, t.port));
+        }
+        return p;
+      };
+      const bool known = before != targets_.end();
+      k.v4 = part(t.v4, known ? &before->second.v4 : nullptr, "A");
+      k.v6 = part(t.v6, known ? &before->second.v6 : nullptr, "AAAA");
+      fresh[{t.host, t.port}] = std::move(k);
+    }
+  } else {
+    DnsRecords r;
+    r.kind = answer.kind;
+    r.cause = answer.cause;
+    trouble(spec_.srv, r);
+  }
+  const bool any = std::any_of(fresh.begin(), fresh.end(), [](const auto& t) {
+    return !t.second.v4.addresses.empty() || !t.second.v6.addresses.empty();
+  });
+  if (!any) {
+    if (heard.trouble.empty())
+      heard.trouble = heard.forbidden.empty() ? "no address" : "no address that `allow` lets pass";
+    query_ = now + retry_;
+    retry_ = std::min(2 * retry_, limits_.most_retry);
+    next_ = query_;
+    for (const auto& [endpoint, until] : kept_until_) next_ = std::min(next_, until);
+    return heard;
+  }
+  targets_ = std::move(fresh);
+  // A part that failed is asked again soon, though the others would have time.
+  if (!heard.trouble.empty()) {
+    query_ = now + retry_;
+    retry_ = std::min(2 * retry_, limits_.most_retry);
+  } else {
+    query_ = now + std::clamp(ttl, limits_.least_ttl, limits_.most_ttl);
+    retry_ = limits_.least_retry;
+  }
+  heard.changed = list(now);
+  old_ = false;
+  return heard;
+}
+
+// Of the targets with the lowest priority that have an address (RFC 2782); the others stand by.
+bool NameMemory::list(Micros now) {
+  int best = INT32_MAX;
+  for (const auto& [key, t] : targets_)
+    if (!t.v4.addresses.empty() || !t.v6.addresses.empty()) best = std::min(best, t.priority);
+  std::set<std::string> named;
+  for (const auto& [key, t] : targets_) {
+    if (t.priority != best) continue;
+    for (const Part* p : {&t.v4, &t.v6})
+      for (const std::string& a : p->addresses)
+        if (named.size() < limits_.most_addresses) named.insert(endpointText(a, key.second));
+  }
+  if (spec_.keep > 0)
+    for (const std::string& e : endpoints_)
+      if (!named.count(e)) kept_until_.emplace(e, now + spec_.keep);
+  for (auto it = kept_until_.begin(); it != kept_until_.end();) {
+    if (named.count(it->first) || it->second <= now) it = kept_until_.erase(it);
+    else named.insert((it++)->first);
+  }
+  next_ = query_;
+  for (const auto& [endpoint, until] : kept_until_) next_ = std::min(next_, until);
+  std::vector<std::string> all(named.begin(), named.end());
+  if (all == endpoints_) return false;
+  endpoints_ = std::move(all);
+  return true;
+}
+
+bool NameMemory::expire(Micros now) { return !targets_.empty() && !kept_until_.empty() && list(now); }
+
+}  // namespace grademux
--- /dev/null
+++ b/src/membership/partner_file.cpp
@@ -0,0 +1,156 @@
+// grademux: partners' files; see partner_file.h.
+#include "partner_file.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+
+#include "../core/message.h"
+#include "name_memory.h"
+
+namespace grademux {
+
+namespace {
+
+constexpr Micros kHour = 3600 * 1'000'000LL;
+constexpr std::size_t kLongestName = 253;  // of a host (RFC 1035, 2.3.4)
+
+bool isHostName(const std::string& s) {
+  if (s.empty() || s.size() > kLongestName) return false;
+  std::size_t label = 0;
+  for (const char c : s) {
+    if (c == '.') {
+      if (label == 0) return false;
+      label = 0;
+      continue;
+    }
+    const bool good =
+        (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+    if (!good || ++label > 63) return false;
+  }
+  return true;
+}
+
+bool isName(const std::string& s) {
+  const bool number = std::all_of(s.begin(), s.end(), [](char c) { return c >= '0' && c <= '9'; });
+  return !number && usableToken(s) && s.find_first_of("@,=") == std::string::npos;
+}
+
+void readDns(Table& t, Partner& p, const PartnerDefaults& defaults) {
+  NameSpec dns;
+  const bool host = t.node("dns") != nullptr;
+  if (host && t.node("srv")) t.expected("srv", "dns or srv is expected, not both");
+  if (host) {
+    const std::string at = t.text("dns", "");
+    const std::size_t colon = at.rfind(':');
+    dns.host = at.substr(0, colon);
+    const std::string port = colon == std::string::npos ? "" : at.substr(colon + 1);
+    const bool digits =
+        !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+    dns.port = digits ? std::stoi(port) : 0;
+    if (!isHostName(dns.host) || dns.port < 1 || dns.port > 65535)
+      t.expected("dns", "a name and a port are expected, as \"shop.example:9001\"");
+  } else {
+    dns.srv = t.text("srv", "");
+    if (!isHostName(dns.srv)) t.expected("srv", "a name is expected, as \"_print._tcp.shop.example\"");
+  }
+  const std::string family = t.word("family", {"any", "ipv4", "ipv6"}, "any");
+  dns.family = family == "ipv4"   ? NameSpec::Family::ipv4
+               : family == "ipv6" ? NameSpec::Family::ipv6
+                                  : NameSpec::Family::any;
+  dns.allow = t.node("allow") ? t.texts("allow") : defaults.allow;
+  checkNetworks(t, "allow", dns.allow);
+  dns.keep = t.span("keep", 0, 0, 24 * kHour);
+  p.dns = std::move(dns);
+}
+
+Partner readPartner(Table& t, const PartnerDefaults& defaults) {
+  Partner p;
+  p.name = t.text("name", "");
+  constexpr const char* kNameExpected =
+      "printable characters without space, @, comma and =, not digits alone, are expected";
+  if (!p.name.empty() && !isName(p.name)) t.expected("name", kNameExpected);
+  if (t.node("formerly")) {
+    p.formerly = t.text("formerly", "");
+    if (!p.formerly.empty() && !isName(p.formerly)) t.expected("formerly", kNameExpected);
+    if (!p.name.empty() && p.formerly == p.name) t.expected("formerly", "another name than now is expected");
+  }
+  p.number = t.whole("number", numberOfName(p.base()), 0, 1LL << 53);
+  p.rate = t.real("rate", 0, 0, 1e7);
+  if (t.node("dns") || t.node("srv")) {
+    for (const char* key : {"endpoints", "draining"})
+      if (t.node(key)) t.expected(key, "a partner has a list of endpoints or a name in DNS, not both");
+    readDns(t, p, defaults);
+  } else {
+    p.endpoints = t.texts("endpoints");
+    p.draining = t.texts("draining");
+    if (p.endpoints.empty())
+      t.expected("endpoints",
+                 "one address and port at least is expected, as [\"127.0.0.1:9001\"], or dns, or srv");
+    std::set<std::string> once;
+    for (const std::string& e : p.endpoints) {
+      if (!isEndpointAddress(e))
+        t.expected("endpoints", "an address and a port are expected, not \"" + e + "\"");
+      if (!once.insert(e).second) t.expected("endpoints", e + " stands there twice");
+    }
+    for (const std::string& e : p.draining)
+      if (!once.count(e)) t.expected("draining", e + " is not one of the endpoints");
+    for (const char* key : {"family", "allow", "keep"})
+      if (t.node(key)) t.expected(key, "this is for a partner with dns or srv");
+  }
+  t.unknown(" in a partner");
+  return p;
+}
+
+}  // namespace
+
+void checkNetworks(Table& t, const char* key, const std::vector<std::string>& networks) {
+  for (const std::string& n : networks) {
+    try {
+      Networks({n});
+    } catch (const std::invalid_argument&) {
+      t.expected(key, "networks are expected, as \"10.0.0.0/8\", not \"" + n + "\"");
+    }
+  }
+}
+
+std::vector<Partner> readPartners(const std::vector<const toml::table*>& tables,
+                                  const PartnerDefaults& defaults, std::vector<Mistake>& mistakes,
+                                  std::vector<Effective>* effective) {
+  std::vector<Partner> all;
+  std::set<std::string> names;
+  std::map<std::int64_t, std::string> numbers;
+  std::map<std::string, std::string> addresses;
+  for (const toml::table* p : tables) {
+    Table t(*p, "partner", mistakes, effective);
+    Partner x = readPartner(t, defaults);
+    if (!names.insert(x.name).second) t.expected("name", "another partner has this name");
+    else if (const auto other = numbers.emplace(x.number, x.name); !other.second)
+      t.expected("number", "a number of its own is expected, " + other.first->second + " has " +
+                               std::to_string(x.number));
+    for (const std::string& e : x.endpoints)
+      if (const auto other = addresses.emplace(e, x.name); !other.second && other.first->second != x.name)
+        t.expected("endpoints", e + " is an endpoint of " + other.first->second);
+    all.push_back(std::move(x));
+  }
+  return all;
+}
+
+std::vector<Partner> readPartnerText(const std::string& text, const std::string& path,
+                                     const PartnerDefaults& defaults, std::vector<Mistake>& mistakes) {
+  std::vector<Partner> all;
+  try {
+    const toml::table root = toml::parse(text, path);
+    Table top(root, "", mistakes);
+    all = readPartners(top.tables("partner"), defaults, mistakes);
+    if (all.empty() && mistakes.empty()) mistakes.push_back({1, 1, "one [[partner]] at least is expected"});
+    top.unknown(" in a partners' file");
+  } catch (const toml::parse_error& e) {
+    mistakes.push_back({e.source().begin.line, e.source().begin.column,
+                        "TOML is expected: " + std::string(e.description())});
+  }
+  return all;
+}
+
+}  // namespace grademux
--- /dev/null
+++ b/src/membership/partner_names.h
@@ -0,0 +1,29 @@
+// grademux: the admission step that puts a destination's number in place of a partner's name.
+#pragma once
+
+#include "../admission/admission.h"
+#include "table.h"
+
+namespace grademux {
+
+class PartnerNames : public AdmissionStep {
+ public:
+  // `pause`: a client is told to come back after it while a partner has no endpoint yet.
+  PartnerNames(const PartnerTable& table, Micros pause) : table_(table), pause_(pause) {}
+  const char* name() const override { return "partners"; }
+  void take(const std::shared_ptr<Submission>& s, Next next) override {
+    if (s->partner.empty()) return next(Verdict::pass());
+    const Partner* p = table_.find(s->partner);
+    if (!p) return next(Verdict::reject("unknown-destination", "unknown partner"));
+    if (p->endpoints.empty()) return next(Verdict::refuse(pause_));
+    s->message.destination = p->number;
+    s->partner.clear();
+    next(Verdict::pass());
+  }
+
+ private:
+  const PartnerTable& table_;
+  Micros pause_;
+};
+
+}  // namespace grademux
--- a/src/membership/partners.h
+++ b/src/membership/partners.h
@@ -1,43 +1,50 @@
-// grademux: partners as a daemon file names them: the first source of membership beside the platform's
-// discovery. Each is one destination with its endpoints. No I/O, no clock.
+// grademux: what a partner is: one destination that messages name, with its endpoints as a file gives them or
+// as names in DNS. Plain data; no I/O, no clock.
 #pragma once
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
-#include "../admission/admission.h"
-#include "list.h"
+#include "grademux/sender.h"
 
 namespace grademux {
 
+// Where a partner's endpoints come from, if not from a list: A and AAAA records of `host`, with `port`, or
+// the SRV records (RFC 2782) of `srv`.
+struct NameSpec {
+  enum class Family : std::uint8_t { any, ipv4, ipv6 };
+  std::string host, srv;
+  int port = 0;
+  Family family = Family::any;
+  std::vector<std::string> allow;  // networks, as "10.0.0.0/8"; empty: any address of one host
+  Micros keep = 0;                 // an address is listed for so long after the last answer that named it
+
+  const std::string& name() const { return srv.empty() ? host : srv; }
+  bool operator==(const NameSpec& o) const;
+  bool operator!=(const NameSpec& o) const { return !(*this == o); }
+};
+
 struct Partner {
   std::string name;
+  std::string formerly;                // the name that its number and its endpoints' ids go on from
   std::int64_t number = 0;             // of its destination
   std::vector<std::string> endpoints;  // HOST:PORT
   std::vector<std::string> draining;   // of those: listed, and sent nothing new
   double rate = 0;                     // calls a second that it takes, of all senders; 0: not known
+  std::optional<NameSpec> dns;         // then `endpoints` are what it was resolved to
+
+  const std::string& base() const { return formerly.empty() ? name : formerly; }
+  bool operator==(const Partner& o) const;
 };
 
 // The number of a partner that was given none: of its name alone, so that it stays the same over restarts,
-// moves in the file and machines (FNV-1a, 31 bits of it). Two names may share one: the file then has to give
-// a number.
+// moves between files and machines (FNV-1a, 31 bits of it). Two names may share one: the file then has to
+// give a number.
 std::int64_t numberOfName(const std::string& name);
 
-// All of them as a whole list. An endpoint's id is its partner's name and its address: one that moves is a
-// new one.
-ListAnswer listOf(const std::vector<Partner>& partners, std::int64_t index);
-
-// An admission step: puts a destination's number in place of a partner's name.
-class PartnerNames : public AdmissionStep {
- public:
-  void set(const std::vector<Partner>& partners);
-  const char* name() const override { return "partners"; }
-  void take(const std::shared_ptr<Submission>& s, Next next) override;
-
- private:
-  std::map<std::string, std::int64_t> numbers_;
-};
+// "HOST:PORT", with an address, not a name; the port not 0.
+bool isEndpointAddress(const std::string& s);
 
 }  // namespace grademux
--- a/src/replay/recorder.cpp
+++ b/src/replay/recorder.cpp
@@ -1,9 +1,10 @@
 // grademux: the recorder; see recorder.h.
 #include "recorder.h"
 
-#include <iostream>
 #include <stdexcept>
 
+#include "../log/log.h"
+
 namespace grademux::replay {
 
 namespace {
@@ -44,8 +45,8 @@
     return;
   }
   ended_ = true;
-  std::cerr << "record: " << path_ << (out_ ? " has reached its size" : " can't be written")
-            << ", it ends here\n";
+  log::write(log::Event::record_ended,
+             {{"file", path_}, {"cause", out_ ? "it has reached its size" : "it can't be written"}});
   out_.close();
 }
 
--- a/tests/daemon/standing_alone_test.cpp
+++ b/tests/daemon/standing_alone_test.cpp
@@ -28,8 +28,8 @@
   EXPECT_EQ(s.settings.classes[1].memory, 600'000'000);
   EXPECT_EQ(s.settings.classes[2].effect, Effect::unsafe);
   EXPECT_EQ(s.settings.classes[2].worth, 4);
-  ASSERT_EQ(s.partners.size(), 1u);
-  EXPECT_EQ(s.partners[0].name, "print-shop");
+  ASSERT_EQ(s.sources.partners.size(), 1u);
+  EXPECT_EQ(s.sources.partners[0].name, "print-shop");
 }
 
 TEST(Site, AFileWithDoorsAloneIsForAPlatform) {
@@ -173,7 +173,7 @@
   const std::size_t before = first.seen().size();
   a.write(Alone::partner("shop", second.address()));
   a.child.signal(SIGHUP);
-  ASSERT_TRUE(a.logged("daemon file reloaded: 1 doors, 1 partners")) << a.log();
+  ASSERT_TRUE(a.logged("daemon.file_reloaded doors=1 partners=1")) << a.log();
   EXPECT_EQ(a.put("m2", "shop"), "+OK");
   EXPECT_EQ(a.end("m2"), "delivered");
   EXPECT_EQ(first.seen().size(), before);
@@ -181,7 +181,7 @@
 
   a.write("[[partner]]\nname = 5\n");
   a.child.signal(SIGHUP);
-  ASSERT_TRUE(a.logged("the new daemon file is not used")) << a.log();
+  ASSERT_TRUE(a.logged("daemon.file_refused")) << a.log();
   EXPECT_EQ(a.put("m3", "shop"), "+OK");
   EXPECT_EQ(a.end("m3"), "delivered");
 
@@ -189,7 +189,7 @@
   a.write(Alone::partner("shop", second.address(), "draining = [\"" + second.address() + "\"]\n") +
           Alone::partner("bank", first.address()));
   a.child.signal(SIGHUP);
-  ASSERT_TRUE(a.logged("1 doors, 2 partners")) << a.log();
+  ASSERT_TRUE(a.logged("file_reloaded doors=1 partners=2")) << a.log();
   EXPECT_EQ(a.put("m4", "shop", "notice", 3000), "+OK");
   EXPECT_EQ(a.put("m5", "bank", "payment"), "+OK");
   EXPECT_EQ(a.end("m5"), "delivered");
--- a/tests/daemon/two_doors_test.cpp
+++ b/tests/daemon/two_doors_test.cpp
@@ -209,7 +209,7 @@
   f.program.signal(SIGHUP);
   EXPECT_EQ(202, waits.reply().status);
   EXPECT_TRUE(waits.ended());
-  ASSERT_TRUE(f.program.waitForLog("2 doors"));
+  ASSERT_TRUE(f.program.waitForLog("file_reloaded doors=2"));
   EXPECT_TRUE(eventually([&] { return !HttpClient(old_port).connected(); }));
   EXPECT_EQ(202, f.put("moved", messageDocument("notice", 7)).status);
   // A file with a mistake, an address that is taken, and more connections than there are: the old one stays.
@@ -223,7 +223,7 @@
     ASSERT_TRUE(eventually([&] {
       const std::string log = f.program.log();
       int n = 0;
-      for (std::size_t at = 0; (at = log.find("daemon file is not used", at)) != std::string::npos; ++at) ++n;
+      for (std::size_t at = 0; (at = log.find("daemon.file_refused", at)) != std::string::npos; ++at) ++n;
       return n == before;
     })) << text;
     EXPECT_EQ(202, f.put("still" + std::to_string(before), messageDocument("notice", 7)).status);
@@ -231,7 +231,7 @@
   // Removed: nothing listens there any more, the platform's own door goes on.
   f.program.writeDaemon("# none\n");
   f.program.signal(SIGHUP);
-  ASSERT_TRUE(f.program.waitForLog(" 0 doors"));
+  ASSERT_TRUE(f.program.waitForLog("file_reloaded doors=0"));
   EXPECT_TRUE(eventually([&] { return !HttpClient(f.http).connected(); }));
   Client resp(f.program.port());
   silent = false;
--- /dev/null
+++ b/tests/log/log_test.cpp
@@ -0,0 +1,141 @@
+// The log: its lines, its bound on rate, its file that is opened anew, and its table in the operators' pages.
+#include "../../src/log/log.h"
+
+#include <set>
+
+#include "../../src/log/rate.h"
+#include "../support/loopback.h"
+
+namespace grademux {
+namespace {
+
+using log::Event;
+using loopback::json;
+
+std::string read(const std::string& path) {
+  std::ifstream f(path);
+  return {std::istreambuf_iterator<char>(f), {}};
+}
+std::size_t count(const std::string& text, const std::string& words) {
+  std::size_t n = 0;
+  for (std::size_t at = 0; (at = text.find(words, at)) != std::string::npos; at += words.size()) ++n;
+  return n;
+}
+
+struct LogTest : ::testing::Test {
+  ~LogTest() override { log::configure({}); }
+  void open(double rate = 0, bool as_json = false) {
+    spec.file = folder.path() + "/log";
+    spec.rate = rate;
+    spec.burst = 3;
+    spec.json = as_json;
+    log::configure(spec);
+  }
+  std::string text() const { return read(spec.file); }
+  loopback::TempFolder folder;
+  log::Spec spec;
+};
+
+TEST_F(LogTest, ALineIsALineWhateverItsValuesHold) {
+  const std::string odd = "a b=\"c\"\nd\x01\xff";
+  EXPECT_EQ(log::shown(Event::discovery_garbled, {{"cause", "plain"}}, false),
+            "warning discovery.garbled cause=plain");
+  const std::string text =
+      log::shown(Event::discovery_garbled, {{"cause", odd}, {"n", -5}, {"e", ""}}, false);
+  EXPECT_EQ(text, "warning discovery.garbled cause=\"a b=\\\"c\\\"\\nd\\u0001\\ufffd\" n=-5");
+  const json j =
+      json::parse("{" + log::shown(Event::discovery_garbled, {{"cause", odd}, {"n", 5}}, true) + "}");
+  EXPECT_EQ(j["event"], "discovery.garbled");
+  EXPECT_EQ(j["level"], "warning");
+  EXPECT_EQ(j["n"], 5);
+  EXPECT_EQ(j["cause"].get<std::string>().substr(0, 10), odd.substr(0, 10));
+}
+
+TEST_F(LogTest, JsonLinesAreReadWithTheirTime) {
+  open(0, true);
+  log::write(Event::daemon_ready, {{"version", "1"}, {"doors", 2}});
+  const json j = json::parse(text());
+  EXPECT_EQ(j["doors"], 2);
+  EXPECT_EQ(j["time"].get<std::string>().size(), 24u);
+  EXPECT_EQ(j["time"].get<std::string>().back(), 'Z');
+}
+
+// Risk: a fault that comes ten thousand times a second fills the disk and stalls the loop.
+TEST_F(LogTest, AFloodOfOneKindIsCutAndCountedAndTheOthersGoOn) {
+  open(0.001);
+  for (int i = 0; i < 5000; ++i) log::write(Event::journal_write_failed);
+  log::write(Event::journal_torn);
+  EXPECT_EQ(count(text(), "journal.write_failed"), 3u);
+  EXPECT_EQ(count(text(), "journal.torn"), 1u);
+  log::finish();
+  EXPECT_EQ(count(text(), "log.left_out event=journal.write_failed lines=4997"), 1u) << text();
+  log::finish();
+  EXPECT_EQ(count(text(), "log.left_out"), 1u);
+}
+
+TEST(LogRate, RefillsWithTimeAndTellsWhenItIsCalm) {
+  log::RateBound r(2, 10, 2);
+  EXPECT_TRUE(r.allow(0, 0));
+  EXPECT_TRUE(r.allow(0, 0));
+  EXPECT_FALSE(r.allow(0, 0));
+  EXPECT_TRUE(r.allow(1, 0));
+  EXPECT_FALSE(r.calm(0, 50'000));
+  EXPECT_TRUE(r.calm(0, 100'000));
+  EXPECT_TRUE(r.allow(0, 100'000));
+  EXPECT_FALSE(r.allow(0, 90'000));  // a clock that goes back gives nothing
+  EXPECT_EQ(r.takeLeftOut(0), 2u);
+  EXPECT_FALSE(r.anyLeftOut());
+}
+
+TEST_F(LogTest, LevelsAreSetByPart) {
+  spec.level = log::Level::error;
+  spec.parts["journal"] = log::Level::info;
+  spec.parts["attempt"] = log::Level::debug;
+  spec.parts["membership"] = log::Level::off;
+  open();
+  EXPECT_TRUE(log::on(Event::journal_torn));
+  EXPECT_TRUE(log::on(Event::attempt_ended));
+  EXPECT_FALSE(log::on(Event::message_ended));
+  EXPECT_FALSE(log::on(Event::daemon_ready));
+  EXPECT_TRUE(log::on(Event::daemon_file_refused));
+  EXPECT_FALSE(log::on(Event::membership_file_refused));
+}
+
+TEST_F(LogTest, AFileThatWasRenamedIsOpenedAnewAndOneThatCantBeOpenedLeavesAllAsItWas) {
+  open();
+  log::write(Event::journal_torn);
+  std::filesystem::rename(spec.file, spec.file + ".1");
+  log::reopen();
+  log::write(Event::daemon_stopping);
+  EXPECT_EQ(count(read(spec.file + ".1"), "journal.torn"), 1u);
+  EXPECT_EQ(count(text(), "daemon.stopping"), 1u);
+  log::Spec bad = spec;
+  bad.file = folder.path() + "/no/such/folder\0/log";
+  std::ofstream(folder.path() + "/no") << "a file";
+  EXPECT_THROW(log::configure(bad), std::runtime_error);
+  log::write(Event::journal_torn);
+  EXPECT_EQ(count(text(), "journal.torn"), 1u);
+}
+
+// The page and the code can't part: each event with its level and fields, none else.
+TEST(LogTable, TheOperatorsPageIsTheCodesTable) {
+  const std::string page = read(GRADEMUX_SOURCE "/docs/operate/log.md");
+  std::set<std::string> lines;
+  std::istringstream in(page);
+  for (std::string l; std::getline(in, l);)
+    if (l.rfind("| `", 0) == 0 && l.find('.') < l.find('`', 3)) lines.insert(l);
+  for (std::size_t i = 0; i < std::size(log::kEvents); ++i) {
+    const log::EventSpec& e = log::kEvents[i];
+    EXPECT_EQ(static_cast<std::size_t>(e.event), i) << e.name;
+    std::string fields;
+    std::istringstream words(e.fields);
+    for (std::string w; words >> w;) fields += (fields.empty() ? "`" : ", `") + w + "`";
+    const std::string row =
+        "| `" + std::string(e.name) + "` | " + log::nameOf(e.level) + " | " + fields + " | " + e.says + " |";
+    EXPECT_EQ(lines.erase(row), 1u) << "missing: " << row;
+  }
+  for (const std::string& l : lines) ADD_FAILURE() << "of no event: " << l;
+}
+
+}  // namespace
+}  // namespace grademux
--- /dev/null
+++ b/tests/membership/name_memory_test.cpp
@@ -0,0 +1,179 @@
+// What a name in DNS is taken for: answers that change, shrink, fail, lie or come in halves.
+#include "../../src/membership/name_memory.h"
+
+#include <gtest/gtest.h>
+
+namespace grademux {
+namespace {
+
+constexpr Micros kS = 1'000'000;
+using Kind = DnsRecords::Kind;
+using All = std::vector<std::string>;
+
+NameSpec host(const std::string& name = "shop.test", int port = 80) {
+  NameSpec s;
+  s.host = name;
+  s.port = port;
+  return s;
+}
+DnsRecords records(All addresses, Micros ttl = 10 * kS) {
+  DnsRecords r;
+  r.kind = Kind::records;
+  r.addresses = std::move(addresses);
+  r.ttl = ttl;
+  return r;
+}
+DnsRecords none(Kind k) {
+  DnsRecords r;
+  r.kind = k;
+  r.cause = "timed out";
+  return r;
+}
+DnsAnswer answer(DnsRecords v4, DnsRecords v6 = records({})) {
+  DnsAnswer a;
+  a.targets.push_back({"shop.test", 80, 0, std::move(v4), std::move(v6)});
+  return a;
+}
+
+TEST(NameMemory, FollowsItsAnswersAndTheirTtl) {
+  NameMemory m(host(), {});
+  EXPECT_EQ(m.nextLook(), 0);
+  EXPECT_TRUE(m.answered(answer(records({"10.0.0.2", "10.0.0.1"})), 5 * kS).changed);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.1:80", "10.0.0.2:80"}));
+  EXPECT_EQ(m.nextQuery(), 15 * kS);
+  EXPECT_FALSE(m.answered(answer(records({"10.0.0.1", "10.0.0.2"})), 15 * kS).changed);
+  EXPECT_TRUE(m.answered(answer(records({"10.0.0.9"})), 20 * kS).changed);  // all at once, down to one
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.9:80"});
+  m.answered(answer(records({"10.0.0.9"}, 0)), 30 * kS);
+  EXPECT_EQ(m.nextQuery(), 31 * kS);  // a TTL of 0 is one second
+  m.answered(answer(records({"10.0.0.9"}, 1000'000 * kS)), 40 * kS);
+  EXPECT_EQ(m.nextQuery(), 40 * kS + 3600 * kS);
+}
+
+// Risk: a name server's bad minute takes a partner off the list.
+TEST(NameMemory, NothingEmptiesIt) {
+  NameMemory m(host(), {});
+  m.answered(answer(records({"10.0.0.1"})), 0);
+  Micros now = 10 * kS, pause = 0;
+  for (const Kind k : {Kind::no_name, Kind::failed, Kind::records, Kind::no_name, Kind::failed, Kind::failed,
+                       Kind::failed}) {
+    const auto h = m.answered(answer(none(k), none(k)), now);
+    EXPECT_FALSE(h.changed);
+    EXPECT_NE(h.trouble, "");
+    EXPECT_EQ(m.endpoints(), All{"10.0.0.1:80"});
+    EXPECT_GE(m.nextQuery() - now, pause);  // ever more slowly, up to 30 s
+    pause = m.nextQuery() - now;
+    now = m.nextQuery();
+  }
+  EXPECT_EQ(pause, 30 * kS);
+  EXPECT_TRUE(m.answered(answer(records({"10.0.0.2"})), now).changed);
+  m.answered(answer(none(Kind::failed), none(Kind::failed)), now);
+  EXPECT_EQ(m.nextQuery(), now + kS);  // quick again
+}
+
+TEST(NameMemory, AFamilyThatFailsTakesTheOtherAlongOrNothing) {
+  NameMemory m(host(), {});
+  m.answered(answer(records({"10.0.0.1"}), records({"2001:db8::1"})), 0);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.1:80", "[2001:db8::1]:80"}));
+  const auto h = m.answered(answer(records({"10.0.0.2"}), none(Kind::failed)), kS);
+  EXPECT_TRUE(h.changed);
+  EXPECT_NE(h.trouble.find("AAAA: timed out"), std::string::npos) << h.trouble;
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.2:80", "[2001:db8::1]:80"}));
+  EXPECT_EQ(m.nextQuery(), 2 * kS);  // the part that failed is not left for its TTL
+  m.answered(answer(records({"10.0.0.2"}), records({})),
+             2 * kS);  // there is none any more: that is an answer
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.2:80"});
+}
+
+TEST(NameMemory, AddressesThatAreRuledOutAreToldAndNeverListed) {
+  NameSpec s = host();
+  s.allow = {"10.0.0.0/8", "2001:db8::/32"};
+  NameMemory m(s, {});
+  auto h = m.answered(answer(records({"10.255.255.255", "10.0.0.0", "11.0.0.1", "192.168.1.1"}),
+                             records({"2001:db9::1", "2001:db8::5"})),
+                      0);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.0:80", "10.255.255.255:80", "[2001:db8::5]:80"}));
+  EXPECT_EQ(h.forbidden, (All{"11.0.0.1:80", "192.168.1.1:80", "[2001:db9::1]:80"}));
+  h = m.answered(answer(records({"11.0.0.1"})), kS);
+  EXPECT_FALSE(h.changed);
+  EXPECT_NE(h.trouble.find("allow"), std::string::npos);
+  EXPECT_EQ(m.endpoints().size(), 3u);
+  NameMemory any(host(), {});  // what no host can have is never listed
+  EXPECT_EQ(
+      any.answered(answer(records({"0.0.0.0", "224.0.0.1", "255.255.255.255"}), records({"::", "ff02::1"})),
+                   0)
+          .forbidden.size(),
+      5u);
+  EXPECT_TRUE(any.endpoints().empty());
+  EXPECT_THROW(Networks({"10.0.0.0/33"}), std::invalid_argument);
+}
+
+TEST(NameMemory, OfServicesTheLowestPriorityThatHasAnAddressServes) {
+  NameSpec s;
+  s.srv = "_print._tcp.test";
+  NameMemory m(s, {});
+  DnsAnswer a;
+  a.ttl = 7 * kS;
+  a.targets = {{"a.test", 1, 10, records({"10.0.0.1"}), records({})},
+               {"b.test", 2, 10, records({"10.0.0.2"}), records({})},
+               {"c.test", 3, 20, records({"10.0.0.3"}), records({})}};
+  m.answered(a, 0);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.1:1", "10.0.0.2:2"}));
+  EXPECT_EQ(m.nextQuery(), 7 * kS);
+  a.targets[0].v4 = records({});
+  a.targets[1].v4 = none(Kind::no_name);
+  m.answered(a, kS);
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.3:3"});
+  a.targets[0].v4 = none(Kind::failed);  // what it had was nothing
+  a.targets[1].v4 = records({"10.0.0.2"});
+  m.answered(a, 2 * kS);
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.2:2"});
+  DnsAnswer lost;
+  lost.kind = Kind::failed;
+  lost.cause = "timed out";
+  EXPECT_FALSE(m.answered(lost, 3 * kS).changed);
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.2:2"});
+}
+
+// Name servers that answer with a part of what there is, another each time.
+TEST(NameMemory, KeepHoldsWhatIsNamedNoMoreForItsTime) {
+  NameSpec s = host();
+  s.keep = 30 * kS;
+  NameMemory m(s, {});
+  m.answered(answer(records({"10.0.0.1"})), 0);
+  m.answered(answer(records({"10.0.0.2"})), 10 * kS);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.1:80", "10.0.0.2:80"}));
+  m.answered(answer(records({"10.0.0.1"})), 20 * kS);
+  m.answered(answer(records({"10.0.0.1"}, 600 * kS)), 30 * kS);
+  EXPECT_EQ(m.endpoints(), (All{"10.0.0.1:80", "10.0.0.2:80"}));
+  EXPECT_EQ(m.nextLook(), 50 * kS);
+  EXPECT_FALSE(m.expire(49 * kS));
+  EXPECT_TRUE(m.expire(50 * kS));
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.1:80"});
+  EXPECT_EQ(m.nextLook(), 630 * kS);
+}
+
+TEST(NameMemory, WhatAnEarlierProcessKnewServesAsOldUntilAnAnswer) {
+  NameMemory m(host(), {});
+  m.adopt({"10.0.0.7:80"});
+  EXPECT_TRUE(m.old());
+  for (Micros now = 0; now < 3600 * kS; now = m.nextQuery()) {  // silent for an hour
+    m.answered(answer(none(Kind::failed), none(Kind::failed)), now);
+    ASSERT_EQ(m.endpoints(), All{"10.0.0.7:80"});
+    ASSERT_TRUE(m.old());
+  }
+  EXPECT_TRUE(m.answered(answer(records({"10.0.0.1"})), 3600 * kS).changed);
+  EXPECT_EQ(m.endpoints(), All{"10.0.0.1:80"});
+  EXPECT_FALSE(m.old());
+}
+
+TEST(NameMemory, ManyAddressesAreBounded) {
+  All many;
+  for (int i = 0; i < 200; ++i) many.push_back("10.0.1." + std::to_string(i));
+  NameMemory m(host(), {});
+  m.answered(answer(records(many)), 0);
+  EXPECT_EQ(m.endpoints().size(), DnsLimits{}.most_addresses);
+}
+
+}  // namespace
+}  // namespace grademux
