--- a/bench/decide_bench.cpp
+++ b/bench/decide_bench.cpp
@@ -130,6 +130,6 @@
   if (benchmark::ReportUnrecognizedArguments(argc, argv)) return 2;
   Reporter reporter;
   benchmark::RunSpecifiedBenchmarks(&reporter);
-  std::cout << nlohmann::json{{"us_per_turn", reporter.figures}}.dump() << '\n';
+  std::cout << nlohmann::json{{"us", reporter.figures}}.dump() << '\n';
   return 0;
 }
--- a/bench/log_bench.cpp
+++ b/bench/log_bench.cpp
@@ -29,9 +29,9 @@
 void BM_LogLineCutByRate(benchmark::State& s) { write(s, log::Level::debug, 1e-6, false); }
 void BM_LogLineText(benchmark::State& s) { write(s, log::Level::debug, 0, false); }
 void BM_LogLineJson(benchmark::State& s) { write(s, log::Level::debug, 0, true); }
-BENCHMARK(BM_LogLineOffByLevel);
-BENCHMARK(BM_LogLineCutByRate);
-BENCHMARK(BM_LogLineText);
-BENCHMARK(BM_LogLineJson);
+BENCHMARK(BM_LogLineOffByLevel)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_LogLineCutByRate)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_LogLineText)->Unit(benchmark::kMicrosecond);
+BENCHMARK(BM_LogLineJson)->Unit(benchmark::kMicrosecond);
 
 }  // namespace
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -2,6 +2,7 @@
 #include "service.h"
 
 #include <csignal>
+#include <sstream>
 #include <stdexcept>
 
 #include "../admission/admission.h"
@@ -134,9 +135,14 @@
 
   void tellReady() const {
     notifyManager("READY=1");
-    log::write(log::Event::daemon_ready, {{"version", GRADEMUX_VERSION},
-                                          {"doors", doors_.count() + (clients_ ? 1 : 0)},
-                                          {"partners", partners()}});
+    std::string listen = clients_ ? "resp:" + config_.listen : "";
+    for (const DoorSpec& d : daemon_.doors) {
+      std::ostringstream address;
+      address << (listen.empty() ? "" : " ") << (d.kind == DoorKind::resp ? "resp:" : "http:") << d.listen;
+      listen += address.str();
+    }
+    log::write(log::Event::daemon_ready,
+               {{"version", GRADEMUX_VERSION}, {"listen", listen}, {"partners", partners()}});
   }
 
  private:
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -52,7 +52,7 @@
 };
 
 constexpr EventSpec kEvents[] = {
-    {Event::daemon_ready, "daemon.ready", Level::info, "version doors partners", "the doors are open"},
+    {Event::daemon_ready, "daemon.ready", Level::info, "version listen partners", "the doors are open"},
     {Event::daemon_stopping, "daemon.stopping", Level::info, "", "SIGTERM or SIGINT is being carried out"},
     {Event::daemon_reloaded, "daemon.reloaded", Level::info, "discovery needs_restart",
      "GW_CONFIG's file was read again and holds"},
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -117,7 +117,6 @@
 }
 
 void configure(const Spec& spec) { log().use(spec); }
-void reopen() { log().use(Spec(log().spec)); }
 void finish() {
   Log& l = log();
   const std::lock_guard<std::mutex> hold(l.mutex);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -33,10 +33,9 @@
   double burst = 100;                  // at once
 };
 
-// From now on. Throws std::runtime_error if the file can't be opened; then all is as before.
+// From now on; the file is opened anew, as it may have been renamed. Throws std::runtime_error if it can't be
+// opened; then all is as before.
 void configure(const Spec& spec);
-// Opens the file anew, which may have been renamed. Throws as configure() does.
-void reopen();
 // Tells what was left out and not told yet: before the process ends.
 void finish();
 
--- a/src/replay/main.cpp
+++ b/src/replay/main.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <iostream>
 
+#include "losses.h"
 #include "replay.h"
 
 int main(int argc, char** argv) {
@@ -12,6 +13,11 @@
       "0: the same actions; 1: the first that differs is shown; 2: the file can't be read."};
   std::string file;
   app.add_option("FILE", file, "the record")->required();
+  bool where = false;
+  app.add_flag(
+      "--losses", where,
+      "tells where worth went: messages that came late or not at all, and in which part of their way; "
+      "the last line is JSON");
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : 2; }
@@ -20,6 +26,13 @@
     std::cerr << "grademux_replay: can't be read: " << file << '\n';
     return 2;
   }
+  if (where) {
+    const grademux::replay::Losses l = grademux::replay::losses(in);
+    if (!l.unreadable.empty()) std::cerr << file << ": " << l.unreadable << '\n';
+    print(l, std::cout);
+    std::cout << shown(l).dump() << '\n';
+    return l.unreadable.empty() ? 0 : 2;
+  }
   const grademux::replay::Report r = grademux::replay::replay(in);
   if (!r.unreadable.empty()) std::cerr << file << ": " << r.unreadable << '\n';
   if (r.difference) {
--- a/tests/clients/node_clients.mjs
+++ b/tests/clients/node_clients.mjs
@@ -3,13 +3,14 @@
 //     npm install --prefix /tmp/clients ioredis redis
 //     NODE_PATH=/tmp/clients/node_modules node tests/clients/node_clients.mjs build/grademux_sender
 // Prints one line of JSON; exit status 0 only if all of it worked.
-import { execFileSync, spawn } from 'node:child_process';
+import { execFile, spawn } from 'node:child_process';
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { createRequire } from 'node:module';
 import net from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { promisify } from 'node:util';
 
 const require = createRequire((process.env.NODE_PATH ?? process.cwd()) + '/');
 const [program] = process.argv.slice(2);
@@ -95,11 +96,11 @@
 }
 {
   const url = `http://127.0.0.1:${web}/v1/messages/curl`;
-  const curl = (...words) => execFileSync('curl', ['-s', ...words], { encoding: 'utf8' });
+  const curl = async (...words) => (await promisify(execFile)('curl', ['-s', ...words])).stdout;
   const body = '{"class":"order","destination":"shop","deadline_ms":20000,"key":"c","body":"a body"}';
-  const answer = curl('-X', 'PUT', url, '-H', 'Content-Type: application/json', '-H', 'Prefer: wait=10',
+  const answer = await curl('-X', 'PUT', url, '-H', 'Content-Type: application/json', '-H', 'Prefer: wait=10',
     '-H', 'Idempotency-Key: c', '-d', body);
-  const state = JSON.parse(curl(url)).state;
+  const state = JSON.parse(await curl(url)).state;
   results.curl = { state, works: state === 'delivered', answer: answer.trim().slice(0, 200) };
 }
 await kill();
--- a/tests/daemon/standing_alone_test.cpp
+++ b/tests/daemon/standing_alone_test.cpp
@@ -1,4 +1,8 @@
 // A program that stands alone: its file with all mistakes named, and the real program run by it.
+#include <sys/un.h>
+
+#include <cstring>
+
 #include "../../rig/child.h"
 #include "../../src/daemon/daemon_file.h"
 #include "../support/loopback.h"
@@ -221,5 +225,109 @@
   EXPECT_EQ(f.wait(), 0);
 }
 
+// The words of a command's output.
+std::string outputOf(const std::vector<std::string>& command, const std::string& log, int& status) {
+  rig::Child c;
+  std::filesystem::remove(log);
+  c.start(command, {}, log);
+  status = WEXITSTATUS(c.wait());
+  std::ifstream f(log);
+  return {std::istreambuf_iterator<char>(f), {}};
+}
+
+TEST(Check, TellsWhatIsInForceAndWhereItComesFrom) {
+  Alone a;
+  std::ofstream(a.path()) << "[limits]\ncalls = 7\n" << kDoor << kClass << kPartner;
+  int status = 0;
+  const std::string log = a.folder.path() + "/out",
+                    out = outputOf({GRADEMUX_SENDER, "check", "--effective", a.path()}, log, status);
+  EXPECT_EQ(status, 0);
+  for (const std::string& row :
+       {std::string("limits.calls = 7 "), std::string("# ") + a.path() + ":2\n",
+        std::string("limits.max_open = 20000 "), std::string("# default\n"),
+        std::string("class.deadline = \"1 min\" "), std::string("partner.name = \"shop\" ")})
+    EXPECT_NE(out.find(row), std::string::npos) << row << "\n" << out;
+}
+
+TEST(Check, ReadsTheFilesOfItsSourcesAndTellsWhatStandsAgainstOneAnother) {
+  Alone a;
+  std::filesystem::create_directory(a.folder.path() + "/p");
+  std::ofstream(a.path()) << kDoor << kClass << kPartner << "[[source]]\nkind = \"folder\"\npath = \"p\"\n";
+  std::ofstream(a.folder.path() + "/p/bad.toml")
+      << "[[partner]]\nname = \"x\"\nendpoint = [\"127.0.0.1:5\"]\n";
+  std::ofstream(a.folder.path() + "/p/more.toml")
+      << "[[partner]]\nname = \"shop\"\nendpoints = [\"127.0.0.1:6\"]\n"
+      << "[[partner]]\nname = \"thief\"\nendpoints = [\"127.0.0.1:1\"]\n";
+  int status = 0;
+  const std::string out = outputOf({GRADEMUX_SENDER, "check", a.path()}, a.folder.path() + "/out", status);
+  EXPECT_EQ(status, 2);
+  for (const char* words : {"bad.toml:3:1: unknown key endpoint in a partner", "endpoints may be meant",
+                            "more.toml: partner shop", "127.0.0.1:1 is an endpoint of shop"})
+    EXPECT_NE(out.find(words), std::string::npos) << words << "\n" << out;
+}
+
+TEST(Site, TheNearestKnownNameIsTold) {
+  EXPECT_EQ(nearest("lisen", {"kind", "listen", "idle_s"}), "listen");
+  EXPECT_EQ(nearest("colour", {"kind", "listen", "idle_s"}), "");
+  const Read r(std::string(kDoor) + kPartner + "[[class]]\nname = \"x\"\neffect = \"unsave\"\n");
+  ASSERT_EQ(r.mistakes.size(), 1u);
+  EXPECT_NE(r.mistakes[0].what.find("\"unsafe\" may be meant"), std::string::npos) << r.mistakes[0].what;
+}
+
+TEST(StandingAlone, AServiceManagerIsToldOfReadinessReloadsAndTheEnd) {
+  Alone a;
+  a.write(Alone::partner("shop", "127.0.0.1:1"));
+  const std::string path = a.folder.path() + "/notify";
+  const int fd = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+  sockaddr_un at{};
+  at.sun_family = AF_UNIX;
+  ASSERT_LT(path.size(), sizeof at.sun_path);
+  std::memcpy(at.sun_path, path.c_str(), path.size());
+  ASSERT_EQ(::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+  const auto told = [fd] {
+    pollfd p{fd, POLLIN, 0};
+    char text[256];
+    const bool came = ::poll(&p, 1, static_cast<int>(std::chrono::milliseconds(kLong).count())) > 0;
+    const ssize_t n = came ? ::recv(fd, text, sizeof text, 0) : 0;
+    return std::string(text, static_cast<std::size_t>(std::max<ssize_t>(0, n)));
+  };
+  a.child.start({GRADEMUX_SENDER, "run", "--daemon", a.path()}, {"NOTIFY_SOCKET=" + path},
+                a.folder.path() + "/log");
+  EXPECT_EQ(told(), "READY=1");
+  EXPECT_TRUE(Client(a.port).connected());
+  a.child.signal(SIGHUP);
+  EXPECT_EQ(told().substr(0, 27), "RELOADING=1\nMONOTONIC_USEC=");
+  EXPECT_EQ(told(), "READY=1");
+  a.child.signal(SIGTERM);
+  EXPECT_EQ(told(), "STOPPING=1");
+  EXPECT_EQ(a.child.wait(), 0);
+  ::close(fd);
+}
+
+// Sources that can't be read at a start: what the earlier process had serves, and says so; a name that was
+// never resolved is no unknown partner.
+TEST(StandingAlone, TheLastKnownListServesWhereSourcesAreSilentAtAStart) {
+  Server shop(taken);
+  Alone a;
+  const std::string source = a.folder.path() + "/p";
+  std::filesystem::create_directory(source);
+  std::ofstream(source + "/shop.toml") << Alone::partner("shop", shop.address());
+  a.write("[[source]]\nkind = \"folder\"\npath = \"p\"\n[dns]\nservers = [\"" + closedAddress() +
+          "\"]\ntries = 1\n[[partner]]\nname = \"named\"\ndns = \"shop.test:1\"\n");
+  a.start();
+  EXPECT_EQ(a.put("m1", "shop"), "+OK");
+  EXPECT_EQ(a.end("m1"), "delivered");
+  EXPECT_EQ(a.put("m2", "named").substr(0, 5), "-BUSY");
+  a.child.signal(SIGKILL);
+  a.child.wait();
+  std::filesystem::rename(source, source + "-away");
+  a.start();
+  EXPECT_TRUE(a.logged("membership.old partner=shop"));
+  EXPECT_EQ(a.put("m3", "shop"), "+OK");
+  EXPECT_EQ(a.end("m3"), "delivered");
+  std::filesystem::rename(source + "-away", source);
+  EXPECT_TRUE(a.logged("membership.readable"));
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/log/log_test.cpp
+++ b/tests/log/log_test.cpp
@@ -105,7 +105,7 @@
   open();
   log::write(Event::journal_torn);
   std::filesystem::rename(spec.file, spec.file + ".1");
-  log::reopen();
+  log::configure(spec);
   log::write(Event::daemon_stopping);
   EXPECT_EQ(count(read(spec.file + ".1"), "journal.torn"), 1u);
   EXPECT_EQ(count(text(), "daemon.stopping"), 1u);
