--- a/src/daemon/notify.h
+++ b/src/daemon/notify.h
@@ -1,5 +1,5 @@
-// grademux: what a service manager is told (sd_notify(3)): one datagram to the socket that NOTIFY_SOCKET names.
-// Where there is none, nothing is done.
+// grademux: what a service manager is told (sd_notify(3)): one datagram to the socket that NOTIFY_SOCKET
+// names. Where there is none, nothing is done.
 #pragma once
 
 #include <string>
--- a/src/doors/resp/parser.h
+++ b/src/doors/resp/parser.h
@@ -19,7 +19,8 @@
 
 // Reads one request off the front of `in`; `used` tells how much of it that took. `error` says what is wrong.
 // A request is an array of bulk strings or, if `knows` is given, an inline command: one line of words, as
-// people type them, with "..." (\n \r \t \b \a \\ \" \xHH in it) and '...' (\' in it) around words with blanks.
+// people type them, with "..." (\n \r \t \b \a \\ \" \xHH in it) and '...' (\' in it) around words with
+// blanks.
 Parsed parseRequest(std::string_view in, std::vector<std::string>& words, std::size_t& used,
                     std::string& error, KnowsCommand knows = nullptr);
 
