Rig: drop a counter and a field that nothing reads

Read again: the name server's count of queries and a field of the pending change were never used. Behaviour is the same; the tests of the name server pass and the membership scenario holds. Nothing under src/ is touched.

--- a/rig/dns_stand_in.cpp
+++ b/rig/dns_stand_in.cpp
@@ -145,7 +145,6 @@
   if (at + 5 > size) return {};
   const int type = query[at + 1] << 8 | query[at + 2];
   const Bytes question(query + kHeader, query + at + 5);
-  ++queries_;
   if (over_tcp) ++over_tcp_;
 
   const auto found = zone.find(name);
--- a/rig/dns_stand_in.h
+++ b/rig/dns_stand_in.h
@@ -52,7 +52,6 @@
   void set(const std::string& name, DnsZoneEntry entry) { zone[name] = std::move(entry); }
   // Called once, with the next answer without a fault to a query for this name.
   void onAnswer(const std::string& name, std::function<void()> then) { on_answer_[name] = std::move(then); }
-  std::uint64_t queries() const { return queries_; }
   std::uint64_t overTcp() const { return over_tcp_; }
 
  private:
@@ -68,7 +67,7 @@
   std::vector<std::uint8_t> in_;
   std::map<std::string, std::function<void()>> on_answer_;
   std::set<std::shared_ptr<TcpSession>> sessions_;
-  std::atomic<std::uint64_t> queries_{0}, over_tcp_{0};
+  std::atomic<std::uint64_t> over_tcp_{0};
 };
 
 }  // namespace grademux::rig
--- a/rig/membership.cpp
+++ b/rig/membership.cpp
@@ -98,7 +98,7 @@
     } else if (partner < kService) {
       changeFolder(partner, before, next);
     } else {
-      pending_ = {partner, before, next, true};
+      pending_ = {partner, before, next};
       tellDns(DnsFault::none);
     }
   }
@@ -207,7 +207,6 @@
   struct Pending {
     int partner;
     Row before, next;
-    bool told_soon;
   };
 
   std::string link() const { return w_.folder() + "/partners"; }
@@ -348,7 +347,7 @@
   World& w_;
   int crowd_, version_ = 0;
   std::vector<Row> listed_;
-  Pending pending_{-1, {true, true}, {true, true}, false};
+  Pending pending_{-1, {true, true}, {true, true}};
   std::unique_ptr<DnsStandIn> dns_;
 };
 
