Say why a message ends whose class or partner is gone; DNS limits hold for known names

A message that ended because its partner or class was not in the daemon file any more had its end, but no line said so; [dns] limits changed by SIGHUP held for new names only. message.orphaned names the cause, and known names take over new limits at once. Tests at the program's level for payments under way while their partner is renamed, split and listed twice, and for what an earlier process took on for a class or partner that is gone.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -321,6 +321,7 @@
     return;
   }
   const End e{handed_back ? Ending::handed_back : Ending::given_up, unixNow(), pause};
+  tellIfOrphaned(it->second.message, e);
   const Notice n{handed_back, (pause + 999) / 1000, e.at};
   journal_.noticeOwed(id, n);
   owed_[id] = {e, it->second.digest, 0};
@@ -328,6 +329,19 @@
   notices_.owe(id, n);
 }
 
+// Why it could not be delivered, where that is that the file or the list has no place for it any more.
+void Host::tellIfOrphaned(const TakenOn& m, const End& end) const {
+  const auto same = [&](const MessageClass& c) { return c.name == m.message_class; };
+  const bool no_class = std::none_of(settings_.classes.begin(), settings_.classes.end(), same);
+  if (!no_class && list_.lists(m.destination)) return;
+  log::write(log::Event::message_orphaned,
+             {{"message", m.id},
+              {"class", m.message_class},
+              {"destination", m.destination},
+              {"outcome", nameOf(end.how)},
+              {"cause", no_class ? "its class is configured no more" : "its partner is listed no more"}});
+}
+
 // Guards against a second effect when the id of a message that was taken on comes again after its end: the
 // journal remembers it.
 void Host::over(const std::string& id, const End& end) {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -57,6 +57,7 @@
   void tellList(std::size_t most, ListKind kind);
   bool knowsDestination(std::int64_t destination) const;
   void over(const std::string& id, const End& end);
+  void tellIfOrphaned(const TakenOn& m, const End& end) const;
   void announce();
   const Past* pastOf(const std::string& id) const;  // its end, told or not; null if it has none
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -39,6 +39,7 @@
   membership_old,
   attempt_ended,
   message_ended,
+  message_orphaned,
   log_left_out,
   count  // of them
 };
@@ -105,6 +106,8 @@
     {Event::attempt_ended, "attempt.ended", Level::debug, "message endpoint attempt outcome",
      "a call came to its end"},
     {Event::message_ended, "message.ended", Level::debug, "message outcome attempts", "a message's one end"},
+    {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
+     "it ends undelivered since what it was meant for is not there any more"},
     {Event::log_left_out, "log.left_out", Level::warning, "event lines",
      "so many lines of a kind were over its rate"},
 };
--- a/src/membership/folder.cpp
+++ b/src/membership/folder.cpp
@@ -204,8 +204,7 @@
 
 PartnerFolder::PartnerFolder(boost::asio::io_context& io, Worker& worker, FolderSpec spec,
                              PartnerDefaults defaults, Heard heard)
-    : io_(io),
-      worker_(worker),
+    : worker_(worker),
       spec_(std::move(spec)),
       reader_(std::make_shared<FolderReader>(spec_, std::move(defaults))),
       heard_(std::move(heard)),
--- a/src/membership/folder.h
+++ b/src/membership/folder.h
@@ -90,7 +90,6 @@
   void go();
   void armRescan();
 
-  boost::asio::io_context& io_;
   Worker& worker_;
   FolderSpec spec_;
   std::shared_ptr<FolderReader> reader_;
--- a/src/membership/name_memory.cpp
+++ b/src/membership/name_memory.cpp
@@ -75,7 +75,7 @@
         for (const std::string& a : r.addresses) {
           boost::system::error_code e;
           const ip::address parsed = ip::make_address(a, e);
-          if (!e && networks_.allow(parsed)) p.addresses.push_back(a);
+          if (!e && networks_.allow(parsed)) p.push_back(a);
           else heard.forbidden.push_back(endpointText(a, t.port));
         }
         return p;
@@ -91,9 +91,8 @@
     r.cause = answer.cause;
     trouble(spec_.srv, r);
   }
-  const bool any = std::any_of(fresh.begin(), fresh.end(), [](const auto& t) {
-    return !t.second.v4.addresses.empty() || !t.second.v6.addresses.empty();
-  });
+  const bool any = std::any_of(fresh.begin(), fresh.end(),
+                               [](const auto& t) { return !t.second.v4.empty() || !t.second.v6.empty(); });
   if (!any) {
     if (heard.trouble.empty())
       heard.trouble = heard.forbidden.empty() ? "no address" : "no address that `allow` lets pass";
@@ -121,12 +120,12 @@
 bool NameMemory::list(Micros now) {
   int best = INT32_MAX;
   for (const auto& [key, t] : targets_)
-    if (!t.v4.addresses.empty() || !t.v6.addresses.empty()) best = std::min(best, t.priority);
+    if (!t.v4.empty() || !t.v6.empty()) best = std::min(best, t.priority);
   std::set<std::string> named;
   for (const auto& [key, t] : targets_) {
     if (t.priority != best) continue;
     for (const Part* p : {&t.v4, &t.v6})
-      for (const std::string& a : p->addresses)
+      for (const std::string& a : *p)
         if (named.size() < limits_.most_addresses) named.insert(endpointText(a, key.second));
   }
   if (spec_.keep > 0)
@@ -144,6 +143,13 @@
   return true;
 }
 
+void NameMemory::setLimits(const DnsLimits& limits, Micros now) {
+  limits_ = limits;
+  retry_ = std::clamp(retry_, limits.least_retry, limits.most_retry);
+  query_ = std::min(query_, now + limits.most_ttl);
+  next_ = std::min(next_, query_);
+}
+
 bool NameMemory::expire(Micros now) { return !targets_.empty() && !kept_until_.empty() && list(now); }
 
 }  // namespace grademux
--- a/src/membership/name_memory.h
+++ b/src/membership/name_memory.h
@@ -75,6 +75,8 @@
     std::vector<std::string> forbidden;  // addresses that were ruled out
   };
   Heard answered(const DnsAnswer& answer, Micros now);
+  // What is known stays; a query that was due later than the new limits let it be comes with them.
+  void setLimits(const DnsLimits& limits, Micros now);
   // Lets go of what `keep` held until now; true if that changes something.
   bool expire(Micros now);
 
@@ -85,9 +87,7 @@
   const NameSpec& spec() const { return spec_; }
 
  private:
-  struct Part {
-    std::vector<std::string> addresses;
-  };
+  using Part = std::vector<std::string>;    // addresses
   using Key = std::pair<std::string, int>;  // host and port
   struct Known {
     int priority = 0;
--- a/src/membership/sources.cpp
+++ b/src/membership/sources.cpp
@@ -80,6 +80,7 @@
     asking_ = 0;
   }
   const bool anew = spec.defaults.allow != spec_.defaults.allow;
+  for (auto& [partner, name] : names_) name.memory.setLimits(spec.dns_limits, monotonicNow());
   spec_ = std::move(spec);
   // A folder that is named no more takes its partners with it, in the change that brings the others.
   const auto named = [&](const auto& open) {
--- a/src/membership/sources.h
+++ b/src/membership/sources.h
@@ -65,7 +65,6 @@
   PartnerTable table_;
   std::vector<std::unique_ptr<PartnerFolder>> folders_;
   std::set<std::string> unreadable_;  // sources of which that was told
-  std::set<std::string> refused_;     // units of which mistakes were told, and that serve what they had
   // What an earlier process kept: by unit, and the addresses by partner.
   std::unordered_map<std::string, std::vector<KeptEntry>> kept_;
   std::unordered_map<std::string, std::vector<std::string>> kept_addresses_;
--- a/src/membership/table.cpp
+++ b/src/membership/table.cpp
@@ -5,8 +5,6 @@
 
 namespace grademux {
 
-std::string endpointId(const Partner& p, const std::string& address) { return p.base() + "@" + address; }
-
 bool readKept(const std::string& text, KeptEntry& k) {
   const json e = json::parse(text, nullptr, false);
   if (!e.is_object() || !e.contains("partner")) return false;  // the platform's, or an older version's
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -88,8 +88,6 @@
   std::size_t endpoints_ = 0;
 };
 
-// An entry's id, and the entry as the journal keeps it.
-std::string endpointId(const Partner& p, const std::string& address);
 // What an earlier process kept of an entry: so much of a partner as one entry tells.
 struct KeptEntry {
   std::string unit, partner, formerly, address;
--- a/tests/daemon/standing_alone_test.cpp
+++ b/tests/daemon/standing_alone_test.cpp
@@ -329,5 +329,65 @@
   EXPECT_TRUE(a.logged("membership.readable"));
 }
 
+// Payments under way while their partner is renamed, moved, split and listed twice: each is called once and
+// has one end, and the new name takes what the old one had.
+TEST(StandingAlone, PaymentsOutlastARenameASplitAndASecondListing) {
+  std::atomic<bool> hold{true};
+  const auto slow = [&](const Seen&) {
+    while (hold) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    return Act{answer("200 OK")};
+  };
+  Server shop(slow), other(taken);
+  Alone a;
+  a.write(Alone::partner("shop", shop.address()));
+  a.start();
+  EXPECT_EQ(a.put("p1", "shop", "payment"), "+OK");
+  ASSERT_TRUE(eventually([&] { return shop.seen().size() == 1; }));
+  a.write(Alone::partner("store", shop.address(), "formerly = \"shop\"\n"));
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(eventually([&] { return a.put("p2", "store", "payment") == "+OK"; })) << a.log();
+  EXPECT_EQ(a.put("p3", "shop", "payment"), "+OK");  // both names are known
+  // Split: its old endpoint stays, and a partner of its own has another one; a file lists it once more.
+  const std::string source = a.folder.path() + "/p";
+  std::filesystem::create_directory(source);
+  std::ofstream(source + "/again.toml") << Alone::partner("store", other.address());
+  a.write(Alone::partner("store", shop.address(), "formerly = \"shop\"\n") +
+          Alone::partner("branch", other.address()) + "[[source]]\nkind = \"folder\"\npath = \"p\"\n");
+  a.child.signal(SIGHUP);
+  ASSERT_TRUE(a.logged("membership.partner_conflict partner=store")) << a.log();
+  EXPECT_EQ(a.put("p4", "branch", "payment"), "+OK");
+  EXPECT_EQ(a.end("p4"), "delivered");
+  hold = false;
+  EXPECT_EQ(a.end("p1"), "delivered");
+  EXPECT_EQ(a.end("p2"), "delivered");
+  EXPECT_EQ(a.end("p3"), "delivered");
+  EXPECT_EQ(shop.seen().size(), 3u);  // each of its three once
+  EXPECT_EQ(other.seen().size(), 1u);
+}
+
+// What an earlier process took on for a class or a partner that the file no longer has ends, and the log says
+// why.
+TEST(StandingAlone, WhatTheFileHasNoPlaceForAnyMoreEndsWithItsReason) {
+  Alone a;
+  const std::string none = Alone::partner("shop", closedAddress()) + Alone::partner("bank", closedAddress());
+  a.write(none + "[[class]]\nname = \"old\"\neffect = \"safe\"\n");
+  a.start();
+  EXPECT_EQ(a.put("m1", "shop", "old", 15000), "+OK");
+  EXPECT_EQ(a.put("m2", "bank", "notice", 6000), "+OK");
+  EXPECT_EQ(a.put("m3", "shop", "notice", 6000), "+OK");
+  a.child.signal(SIGKILL);
+  a.child.wait();
+  a.write(Alone::partner("shop", closedAddress()));
+  a.start();
+  EXPECT_EQ(a.end("m1"), "given_up");
+  EXPECT_EQ(a.end("m2"), "given_up");
+  EXPECT_EQ(a.end("m3"), "given_up");
+  EXPECT_TRUE(a.logged("message.orphaned message=m1")) << a.log();
+  EXPECT_TRUE(a.logged("its class is configured no more"));
+  EXPECT_TRUE(a.logged("message.orphaned message=m2"));
+  EXPECT_TRUE(a.logged("its partner is listed no more"));
+  EXPECT_EQ(a.log().find("message.orphaned message=m3"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/membership/name_memory_test.cpp
+++ b/tests/membership/name_memory_test.cpp
@@ -175,5 +175,21 @@
   EXPECT_EQ(m.endpoints().size(), DnsLimits{}.most_addresses);
 }
 
+// A TTL of hours must not outlast a limit that was lowered meanwhile; what is known serves on.
+TEST(NameMemory, LimitsThatChangeHoldForWhatIsKnownAlready) {
+  NameMemory m(host(), {});
+  m.answered(answer(records({"127.0.0.1"}, 3000 * kS)), 0);
+  EXPECT_EQ(m.nextQuery(), 3000 * kS);
+  DnsLimits less;
+  less.most_ttl = 5 * kS;
+  less.most_retry = 2 * kS;
+  m.setLimits(less, kS);
+  EXPECT_EQ(m.nextQuery(), 6 * kS);
+  EXPECT_EQ(m.nextLook(), 6 * kS);
+  EXPECT_EQ(m.endpoints().size(), 1u);
+  m.answered(answer(records({"127.0.0.1"}, 3000 * kS)), 6 * kS);
+  EXPECT_EQ(m.nextQuery(), 11 * kS);
+}
+
 }  // namespace
 }  // namespace grademux
