Waits leave no claim on slots; dead kept connections are no sickness

Cause 1: virtual time was held back by destinations that wait; once they might send again they took all slots for up to 5 s, and small ones that were well starved. What can't send while others do now keeps a claim of one start.

--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -77,6 +77,7 @@
   Micros wait = 0;  // full: nothing to this destination for so long; 0: none told
   Micros rtt = 0;
   std::optional<LimitReport> report;
+  bool stale = false;  // reset, on a kept connection, with no byte answered: it may have been dead before
 };
 enum class ListKind { delta, full, cached, failed };
 struct ListUpdate {
--- a/src/carriers/http/http_carrier.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -124,7 +124,8 @@
     idle.pop_back();
     --idle_count_;
   }
-  if (!call.connection) {
+  call.kept = call.connection != nullptr;
+  if (!call.kept) {
     try {
       call.connection =
           std::make_unique<HttpConnection>(io_, parseAddress(call.address), call.address, kBodyLimit);
@@ -154,6 +155,7 @@
   if (o.result == Result::full) o.wait = waitOf(answer);
   o.rtt = std::max<Micros>(1, monotonicNow() - it->second.began);
   o.report = reportOf(answer);
+  o.stale = o.result == Result::reset && it->second.kept && !answer.begun;
   // The module keeps its own count of idle connections: one is kept after the same outcomes as there.
   const bool kept = o.result == Result::ok || o.result == Result::error || o.result == Result::full;
   tellEnd(id, it->second.endpoint, o.result);
--- a/src/carriers/http/http_carrier.h
+++ b/src/carriers/http/http_carrier.h
@@ -39,6 +39,7 @@
     std::unique_ptr<HttpConnection> connection;
     std::string endpoint, address;
     Micros began = 0;
+    bool kept = false;  // the connection is of an earlier call
   };
   void over(const CallId& id, const HttpAnswer& answer);
   void report(const CallId& id, Result result, Micros began);
--- a/src/decision/attempts.h
+++ b/src/decision/attempts.h
@@ -89,9 +89,14 @@
     return dead ? dead_least / 2 : kNever;
   }
 
-  Micros takeConnection(Server& s) {
+  // Where kept connections were found dead of late, what can't be repeated goes on a fresh one, and so does a
+  // further try: the first would be lost in the unknown, the other might meet the next dead one. The kept
+  // ones are closed for it, as endpoints take only so many. Harm: a handshake for each.
+  Micros takeConnection(Server& s, const Message& m) {
+    const bool exposed = m.cls->effect == Effect::unsafe || !m.attempts.empty();
+    const bool stale = exposed && now - s.stale_at < kSuspect * set.ramp_time;
     while (!s.idle.empty() && set.conn_idle > 0 && now - s.idle.front() >= set.conn_idle) s.idle.pop_front();
-    if (!s.idle.empty() && now - s.idle.front() >= deadIdle()) {
+    if (!s.idle.empty() && (stale || now - s.idle.front() >= deadIdle())) {
       acts.push_back(CloseIdle{s.id});
       s.idle.clear();
     }
@@ -127,7 +132,7 @@
       --room->second.second;
     } else {
       call = ++next_call;
-      idled = takeConnection(s);
+      idled = takeConnection(s, m);
       forming[&s] = {call, s.kind->per_call - 1};
       ++s.out;
       const double n = readyServers(d), own = perSecond(d.traffic);
@@ -224,21 +229,26 @@
     ++turn;
     blocked = 0;
     Place place{false, -1e300, 0};
+    std::vector<Dest*> barred;
+    double served = -1e300;  // the latest global tag that was
     while (static_cast<int>(calls.size()) < set.slots) {
       Dest* d = nextFrom(place);
-      if (!d) return;
+      if (!d) break;
       place = placeOf(*d);
       Pick p = choose(*d);
       if (!p.first || (sick(*p.second) && laneUsed() >= laneSlots())) {
         d->blocked_in = turn;  // a start elsewhere opens nothing here
+        barred.push_back(d);
         blocked += d->held.size();
         continue;
       }
+      if (std::get<0>(place)) served = std::get<1>(place);
       send(*p.first, *p.second, std::get<0>(place));
       fillCall(*d, *p.second);
       // All before this place are blocked; only the one that has sent may stand before it now.
       if (!d->tags.empty()) place = std::min(place, placeOf(*d));
     }
+    for (Dest* d : barred) raise(*d, served);
   }
 
   void fillCall(Dest& d, Server& s) {
@@ -267,8 +277,9 @@
     a.may_have_run =
         !(o.result == Result::full || o.result == Result::connect_failed || o.result == Result::not_sent);
     if (o.result == Result::connect_failed) a.server->no_connect = now;
+    if (o.stale) a.server->stale_at = now;
     learnLimit(*a.server, o.report);
-    learn(*a.server, o.result, o.rtt > 0 ? o.rtt : now - a.sent, o.wait);
+    learn(*a.server, o.result, o.rtt > 0 ? o.rtt : now - a.sent, o.wait, o.stale);
     const bool runs_on = a.may_have_run && o.result != Result::ok && o.result != Result::error;
     if (runs_on && !m.key.empty()) {
       KeyLine& k = keys[m.key];
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -95,8 +95,10 @@
     }
   }
 
-  void learn(Server& s, Result r, Micros rtt, Micros wait) {
-    if (r == Result::cancelled || r == Result::not_sent) return;
+  // A kept connection that turns out dead tells of the path; of the endpoint the next call on a fresh one
+  // does.
+  void learn(Server& s, Result r, Micros rtt, Micros wait, bool stale) {
+    if (r == Result::cancelled || r == Result::not_sent || stale) return;
     const bool hard = r != Result::ok && r != Result::full, was_down = scope(s).down;
     if (r == Result::ok) typical += (static_cast<double>(rtt) - typical) / ++typical_of;
     Guard* levels[2] = {&s.guard, apart(s) ? nullptr : &s.dest->guard};
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -56,6 +56,7 @@
   Micros gone_at = 0;
   Micros used = -kNever;
   Micros no_connect = -kNever;  // the last connect that failed
+  Micros stale_at = -kNever;    // a kept connection was found dead by a call
   std::deque<Micros> idle;      // since when each connection of this sender idles, oldest first
   Guard guard;
 };
@@ -89,6 +90,7 @@
   std::multiset<double> aims;  // of the classes of the held ones
   std::deque<Tag> tags;        // one for each held message, in order; what is worth most takes the first
   double last_local = -1e18, last_global = -1e18;  // l_prev, g_prev
+  double raised = 0;                               // added to the global tags of all held ones
   double period = 1;                               // 1/M
   Rate traffic;                                    // own messages
   Micros lost_idle = -1;  // a call was lost on a connection that had idled so long, none answered since
--- a/src/decision/tags.h
+++ b/src/decision/tags.h
@@ -27,7 +27,7 @@
 
   void retag(Dest& d) {
     if (d.tags.empty()) return backlog.drop(d.id);
-    backlog.put(d.id, &d, d.tags.front().local, d.tags.front().global);
+    backlog.put(d.id, &d, d.tags.front().local, d.tags.front().global + d.raised);
   }
 
   void hold(Message& m, Micros not_before) {
@@ -45,7 +45,7 @@
     const double credit = d.tags.empty() && d.last_global > -1e17 && !cold(d.guard) ? kIdleCredit * step : 0;
     d.last_local = std::max(d.last_local + d.period, t);
     d.last_global = std::max(d.last_global + step, t - shift - credit);
-    d.tags.push_back({d.last_local, d.last_global});
+    d.tags.push_back({d.last_local, d.last_global - d.raised});
     retag(d);
   }
 
@@ -66,6 +66,18 @@
     retag(d);
   }
 
+  // A destination that could not send while others did gains no claim by it but one start: with the old tags
+  // of a long wait it would take all slots for as long, once it may send again, from those that were served
+  // meanwhile.
+  void raise(Dest& d, double served) {
+    const double credit = cold(d.guard) ? 0 : kSecond / weightOf(d);
+    const double by = served - credit - (d.tags.front().global + d.raised);
+    if (by <= 0) return;
+    d.raised += by;
+    d.last_global += by;
+    retag(d);
+  }
+
   void dropLocalTags(Dest& d) {
     for (Tag& t : d.tags) t.local -= d.period;
     d.last_local -= d.period;
@@ -78,7 +90,7 @@
   Place placeOf(const Dest& d) const {
     const Tag& t = d.tags.front();
     const bool due = t.local <= static_cast<double>(now);
-    return {!due, due ? t.local : t.global, d.id};
+    return {!due, due ? t.local : t.global + d.raised, d.id};
   }
   // The first from a place on where something may still leave in this turn.
   Dest* nextFrom(const Place& from) const {
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -197,6 +197,7 @@
     HttpAnswer a;
     a.how = how;
     a.whole = whole;
+    a.begun = begun;
     if (how == Exchanged::answered) {
       a.status = whole ? static_cast<int>(reader->get().result_int()) : 200;
       if (whole) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -32,6 +32,7 @@
 struct HttpAnswer {
   Exchanged how = Exchanged::not_written;
   int status = 0;
+  bool begun = false;  // at least a byte of it came
   bool whole = false;  // sound from end to end; else only its first line came, and that says 200
   std::string body;
   std::vector<std::pair<std::string, std::string>> fields;
--- a/src/replay/stream_codec.cpp
+++ b/src/replay/stream_codec.cpp
@@ -143,6 +143,7 @@
   v("wait", x.wait);
   v("rtt", x.rtt);
   v("report", x.report);
+  v.later("stale", x.stale);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(ListUpdate) {
@@ -205,6 +206,11 @@
   void operator()(const char* name, const T& x) {
     out[name] = encode(x);
   }
+  // A field that records of earlier versions lack: absent is as new.
+  template <class T>
+  void later(const char* name, const T& x) {
+    if (x != T{}) out[name] = encode(x);
+  }
 };
 
 template <class T>
@@ -245,6 +251,11 @@
   void operator()(const char* name, T& x) {
     decode(field(in, name), name, x);
   }
+  template <class T>
+  void later(const char* name, T& x) {
+    const auto at = in.find(name);
+    if (at != in.end()) decode(*at, name, x);
+  }
 };
 
 template <class T>
--- a/tests/carriers/http_carrier_test.cpp
+++ b/tests/carriers/http_carrier_test.cpp
@@ -246,6 +246,28 @@
   }
 }
 
+// What breaks on a kept connection before a byte of the answer came is told apart: it says nothing of the
+// endpoint.
+TEST(HttpCarrier, AKeptConnectionThatTurnsOutDeadIsTold) {
+  std::atomic<int> calls{0};
+  Server s([&](const Seen&) {
+    const int n = ++calls;
+    if (n == 1 || n == 3) return Act{answer("200 OK")};
+    return n == 4 ? Act{"HTTP/1.1 50", false, true} : Act{"", false, true};
+  });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  EXPECT_EQ(Result::ok, p.call("a").result);
+  Outcome o = p.call("b");
+  EXPECT_EQ(Result::reset, o.result);
+  EXPECT_TRUE(o.stale);
+  EXPECT_EQ(Result::ok, p.call("c").result);
+  EXPECT_FALSE(p.call("d").stale);  // part of an answer came
+  o = p.call("e");
+  EXPECT_EQ(Result::reset, o.result);
+  EXPECT_FALSE(o.stale);  // a fresh connection
+}
+
 TEST(HttpCarrier, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p(100'000);
--- a/tests/decision/attempts_test.cpp
+++ b/tests/decision/attempts_test.cpp
@@ -18,6 +18,40 @@
   EXPECT_TRUE(r.got<Refuse>().empty());
 }
 
+// Risk: payments are lost to connections that died idle, and destinations taken for sick that only ended
+// those.
+TEST(Attempts, DeadKeptConnectionsAreNoSicknessAndUnsafeMessagesAvoidThem) {
+  Rig r;
+  r.list({makeEndpoint("e1", 1)});
+  const auto play = [&](const std::string& id, const std::string& cls) {
+    r.arrive(id, cls, 1);
+    const bool closed = !r.got<CloseIdle>().empty();
+    r.at(r.now + 20 * kMs).end(id, 0, Result::ok, 20 * kMs);
+    return closed;
+  };
+  for (int i = 0; i < 10; ++i) play("w" + std::to_string(i), "safe");
+  EXPECT_FALSE(play("p0", "unsafe"));
+  for (int i = 0; i < 8; ++i) {  // more in a row than an outage takes
+    const std::string id = "s" + std::to_string(i), two = std::to_string(i);
+    r.run({r.arrival("u" + two, "safe", 1), r.arrival("v" + two, "safe", 1)});  // leave two connections
+    r.at(r.now + 20 * kMs).run({r.outcome("u" + two, 0, Result::ok), r.outcome("v" + two, 0, Result::ok)});
+    r.arrive(id, "safe", 1);
+    Outcome dead = r.outcome(id, 0, Result::reset, 1);
+    dead.stale = true;
+    Ids again = r.at(r.now + kMs).run({dead});
+    EXPECT_TRUE(r.got<Ailment>().empty());
+    for (int k = 0; k < 40 && again.empty(); ++k) again = r.at(r.now + 20 * kMs).wake();
+    ASSERT_EQ(again, Ids{id});
+    EXPECT_EQ(r.got<CloseIdle>().size(), 1u) << i;  // a further try
+    r.at(r.now + 20 * kMs).end(id, 1, Result::ok, 20 * kMs);
+    EXPECT_FALSE(play("t" + std::to_string(i), "safe"));  // a first try that may be repeated
+  }
+  EXPECT_TRUE(play("p1", "unsafe"));
+  r.at(r.now + 31 * kS);
+  for (int i = 0; i < 10; ++i) play("x" + std::to_string(i), "safe");
+  EXPECT_FALSE(play("p2", "unsafe"));  // long ago
+}
+
 TEST(Attempts, UnsafeThatProvablyNeverRanGoesAgain) {
   Rig r;
   r.list({makeEndpoint("e1", 1), makeEndpoint("e2", 1)});
--- a/tests/decision/tags_test.cpp
+++ b/tests/decision/tags_test.cpp
@@ -51,6 +51,34 @@
   EXPECT_EQ(r.at(200 * kMs).end("b1", 0, Result::ok), Ids{"a1"});
 }
 
+// Risk: after a told wait a destination takes all slots for as long as the others were served without it.
+TEST(Tags, WhoCouldNotSendTakesNoMoreThanItsShareAfterwards) {
+  Settings s = makeSettings();
+  s.slots = 1;
+  s.weights = WeightKind::nominal;
+  Rig r(s);
+  r.list({makeEndpoint("e1", 1, "shared", 1000), makeEndpoint("e2", 2, "shared", 1000)});
+  r.arrive("a", "safe", 1);
+  r.at(10 * kMs).end("a", 0, Result::full, 10 * kMs, 900 * kMs);
+  std::vector<Event> all;
+  for (int i = 0; i < 40; ++i) all.push_back(r.arrival("a" + std::to_string(i), "safe", 1));
+  for (int i = 0; i < 120; ++i) all.push_back(r.arrival("b" + std::to_string(i), "safe", 2));
+  Ids sent = r.at(20 * kMs).run(all);
+  int first = 0, second = 0;
+  for (Micros t = 40 * kMs; t <= 1700 * kMs; t += 20 * kMs) {
+    ASSERT_EQ(sent.size(), 1u) << t;
+    const bool of_first = sent[0][0] == 'a';
+    if (t <= 910 * kMs) {
+      EXPECT_FALSE(of_first) << t;  // told to wait
+    } else if (t > 940 * kMs) {
+      ++(of_first ? first : second);
+    }
+    sent = r.at(t).end(sent[0], sent[0] == "a" ? 1 : 0, Result::ok, 20 * kMs);
+  }
+  EXPECT_GE(first, 15);
+  EXPECT_GE(second, 15);
+}
+
 TEST(Tags, EndpointWithTheFewestCallsOut) {
   Rig r;
   r.list({makeEndpoint("e1", 1), makeEndpoint("e2", 1)});
--- a/tests/replay/replay_test.cpp
+++ b/tests/replay/replay_test.cpp
@@ -65,6 +65,7 @@
   o.wait = INT64_MAX / 4;
   o.rtt = -1;
   o.report = LimitReport{0.1 + 0.2, 1e-300};
+  o.stale = true;
   Arrival a{"m", "c", "t", "k", INT64_MIN, 5, 6, true};
   ListUpdate l{ListKind::failed, {{"e", "z", "k", 7, EndpointState::draining, 1.0 / 3}}};
   const std::vector<Event> events{a,
@@ -86,6 +87,10 @@
   const auto& report = std::get<Outcome>(t.events[6]).report;
   EXPECT_EQ(report->left, 0.1 + 0.2);
   EXPECT_EQ(report->limit, 1e-300);
+  EXPECT_TRUE(std::get<Outcome>(t.events[6]).stale);
+  json old = json::parse(line);  // of a version that knew nothing of it
+  old["events"][6]["outcome"].erase("stale");
+  EXPECT_FALSE(std::get<Outcome>(replay::readTurn(old).events[6]).stale);
   EXPECT_EQ(std::get<ListUpdate>(t.events[7]).endpoints[0].weight, 1.0 / 3);
   Settings s = makeSettings();
   s.tenants = {{"t", 0.1, 0.7}};
