--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "grademux/lessons.h"
 #include "grademux/settings.h"
 
 namespace grademux {
@@ -50,14 +51,6 @@
   Arrival message;
   std::vector<PastAttempt> attempts;
 };
-// The health of a destination, or of an endpoint that is a route apart, for the next process of this sender:
-// asked to be kept as an action, given back as an event. cold_since in the far past: healthy.
-struct Ailment {
-  std::string endpoint;  // empty: the destination
-  std::int64_t destination = 0;
-  bool down = false;
-  Micros cold_since = 0;
-};
 // This process ends at `at`: an outcome that comes later is not heard.
 struct Stopping {
   Micros at = 0;
@@ -85,7 +78,8 @@
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, ListUpdate, Wake>;
+using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, ListUpdate, Wake,
+                           Lesson, Experience, Survey>;
 
 // ---- actions
 struct Send {
@@ -110,7 +104,7 @@
 struct WakeIn {
   Micros span = 0;
 };
-using Action = std::variant<Send, Cancel, Refuse, Fail, Watch, CloseIdle, WakeIn, Ailment>;
+using Action = std::variant<Send, Cancel, Refuse, Fail, Watch, CloseIdle, WakeIn, Ailment, Lesson, Surveyed>;
 
 class Sender {
  public:
--- a/rig/child.cpp
+++ b/rig/child.cpp
@@ -118,6 +118,12 @@
 
 bool Child::running() { return pid_ > 0 && ::kill(pid_, 0) == 0; }
 
+bool Child::ended() {
+  int status = 0;
+  if (pid_ > 0 && ::waitpid(pid_, &status, WNOHANG) == pid_) pid_ = -1;
+  return pid_ <= 0;
+}
+
 double Child::cpuSeconds() const {
   std::ifstream f("/proc/" + std::to_string(pid_) + "/stat");
   std::string all{std::istreambuf_iterator<char>(f), {}};
--- a/rig/child.h
+++ b/rig/child.h
@@ -35,6 +35,7 @@
   void signal(int number) const;
   int wait();  // its status, as waitpid has it; -1 if it isn't running
   bool running();
+  bool ended();  // without waiting; one that has ended is running no more
   pid_t pid() const { return pid_; }
 
   double cpuSeconds() const;  // user and system, so far
--- a/rig/scenarios.h
+++ b/rig/scenarios.h
@@ -23,6 +23,9 @@
 // Partners that change in every way, see membership.cpp.
 json membership(const Options& o);
 
+// Restarts in mid-outage, with what the sender knows and without, see restart.cpp.
+json restart(const Options& o);
+
 // A world that stays up until Ctrl-C, see play.cpp.
 json play(const Options& o);
 
--- a/rig/stand_ins.cpp
+++ b/rig/stand_ins.cpp
@@ -1,6 +1,7 @@
 // grademux rig: stand-ins; see stand_ins.h.
 #include "stand_ins.h"
 
+#include <algorithm>
 #include <sstream>
 
 #include "../src/core/clock.h"
@@ -12,6 +13,7 @@
 namespace {
 // What the platform allows from the moment that a drain is told, and what its own rules add on sockets.
 constexpr Micros kDrainGrace = 250'000 + 50'000;
+constexpr Micros kHeard = 100'000;  // a wait that was told has been heard after this
 }  // namespace
 
 Endpoint::Endpoint(asio::io_context& io, Ledger& ledger, std::string name, std::int64_t destination,
@@ -32,6 +34,39 @@
           {"weight", 1000.0},      {"since_ms", 0}};
 }
 
+double Standing::share(Micros at) const {
+  const double warmth = static_cast<double>(at - returned) / static_cast<double>(ramp);
+  return cold_share + (1 - cold_share) * std::clamp(warmth, 0.0, 1.0);
+}
+
+std::string Standing::answerTo(Micros first_byte, Micros now) {
+  // What was under way when the wait was told is let through.
+  if (first_byte > told_at_ + kHeard && first_byte < told_until_) ++waits_broken;
+  const auto wait = [&](const char* status, Micros until) {
+    if (now >= told_until_) told_at_ = now;
+    told_until_ = std::max(told_until_, until);
+    return httpAnswer(status,
+                      "Retry-After: " + std::to_string(static_cast<double>(until - now) / 1e6) + "\r\n");
+  };
+  if (fallen_) return httpAnswer("503 Service Unavailable");
+  if (now < shut_until) return wait("503 Service Unavailable", shut_until);
+  // Cold, it falls over if it gets more than it can do for so long.
+  calls_.push_back(now);
+  while (!calls_.empty() && calls_.front() <= now - fall_span) calls_.pop_front();
+  const double takes = rate * share(now - fall_span / 2) * static_cast<double>(fall_span) / 1e6;
+  if (now - returned > fall_span &&
+      now - returned<ramp&& static_cast<double>(calls_.size())> factor * takes) {
+    fallen_ = true;
+    ++fell_over;
+  }
+  if (now - span_at_ >= 1'000'000) {
+    span_at_ = now;
+    taken_ = 0;
+  }
+  if (++taken_ > rate * share(now)) return wait("429 Too Many Requests", span_at_ + 1'000'000);
+  return "";
+}
+
 void Endpoint::call(Request r, HttpStandIn::Respond respond) {
   ++calls_;
   const Micros now = monotonicNow();
@@ -46,6 +81,13 @@
   }
   // The body names the destination that it was meant for.
   if (known && r.body.substr(0, r.body.find(' ')) != std::to_string(destination_)) ++ledger_.misrouted;
+  if (standing_) {
+    const std::string instead = standing_->answerTo(r.first_byte, now);
+    if (!instead.empty()) {
+      respond({instead, false, false});
+      return;
+    }
+  }
   if (behaviour.shut) {
     respond({httpAnswer("503 Service Unavailable"), false, false});
     return;
--- a/rig/stand_ins.h
+++ b/rig/stand_ins.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <map>
+#include <memory>
 #include <random>
 #include <vector>
 
@@ -20,6 +22,27 @@
   bool open_to_all = false;           // answers for messages that the ledger doesn't know, too
 };
 
+// What the endpoints of one destination share: what it takes of all callers together, a wait that it tells,
+// and whether it is pushed over when it is back from an outage. On the stand-ins' thread alone.
+struct Standing {
+  double rate = 0;                 // calls a second that it takes when warm
+  Micros shut_until = 0;           // until then it tells callers to wait
+  Micros returned = -(1LL << 60);  // cold from then on
+  double cold_share = 0.29, factor = 1.5;
+  Micros ramp = 11'000'000, fall_span = 2'000'000;
+  std::uint64_t fell_over = 0, waits_broken = 0;
+
+  // Takes a call, or tells what it answers instead; and holds it against the rules.
+  std::string answerTo(Micros first_byte, Micros now);
+
+ private:
+  double share(Micros at) const;
+  std::deque<Micros> calls_;  // of the last fall_span
+  Micros told_at_ = 0, told_until_ = 0, span_at_ = 0;
+  double taken_ = 0;
+  bool fallen_ = false;
+};
+
 class Endpoint {
  public:
   Endpoint(boost::asio::io_context& io, Ledger& ledger, std::string name, std::int64_t destination,
@@ -29,6 +52,7 @@
   // On its io_context alone:
   Behaviour behaviour;
   void drainedAt(Micros at) { drained_at_ = at; }
+  void shares(std::shared_ptr<Standing> s) { standing_ = std::move(s); }
   void refuse(bool on) { server_.refuse(on); }
   std::uint64_t calls() const { return calls_; }
 
@@ -43,6 +67,7 @@
   double taken_ = 0;
   std::atomic<std::uint64_t> calls_{0};
   Record stranger_;
+  std::shared_ptr<Standing> standing_;
   HttpStandIn server_;
   static constexpr Micros kNever = INT64_MAX / 4;
 };
--- a/rig/world.cpp
+++ b/rig/world.cpp
@@ -152,7 +152,8 @@
   std::vector<std::string> command{program_};
   if (shape_.http) {
     const std::string file = folder_.path() + "/daemon.toml";
-    std::ofstream(file) << "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:" << http_port_ << "\"\n";
+    std::ofstream(file) << "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:" << http_port_ << "\"\n"
+                        << (daemon_text_ ? daemon_text_() : "");
     command.insert(command.end(), {"--daemon", file});
   }
   startWith(command);
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "../knowledge/ageing.h"
 #include "../log/log.h"
 #include "clock.h"
 
@@ -13,9 +14,9 @@
 
 namespace {
 
-constexpr std::size_t kListSlice = 1000;               // changes of the list in one turn
-constexpr Micros kAilmentAge = 24LL * 3600 * 1000000;  // health not heard of for so long is dropped
-constexpr Micros kWakeGrain = 1000;                    // wakes this close are one
+constexpr std::size_t kListSlice = 1000;                    // changes of the list in one turn
+constexpr Micros kAilmentAge = 30 * 24LL * 3600 * 1000000;  // health not heard of for so long is dropped
+constexpr Micros kWakeGrain = 1000;                         // wakes this close are one
 
 }  // namespace
 
@@ -32,7 +33,7 @@
   for (const MessageClass& c : settings_.classes) longest_ = std::max(longest_, c.deadline);
 }
 
-void Host::recover(const json& known) {
+void Host::recover(const json& known, const knowledge::Book& learned) {
   const Journal::Recovered& r = journal_.recovered();
   if (r.damaged > 0) log::write(log::Event::journal_damaged, {{"stretches", r.damaged}});
   if (r.torn) log::write(log::Event::journal_torn);
@@ -49,8 +50,12 @@
   }
   journal_.forgetAilments(unixNow() - kAilmentAge);
   const Micros shift = monotonicNow() - unixNow();
+  recall(learned, shift);
   for (Ailment a : r.ailments) {
+    if (!knowledge::aged(a, unixNow(), settings_.ramp_time)) continue;
     a.cold_since += shift;
+    a.noted += shift;
+    if (a.wait_until > 0) a.wait_until += shift;
     events_.push_back(a);
   }
   for (const Journal::Entry& e : r.entries) {
@@ -80,6 +85,50 @@
   if (!events_.empty()) turn();
 }
 
+// What is known of an endpoint holds for the machine that it was learned of.
+void Host::recall(const knowledge::Book& learned, Micros shift) {
+  const Micros now = unixNow();
+  Experience pool = knowledge::aged(learned.pool, now);
+  if (pool.dead_at > 0) pool.dead_at += shift;
+  if (pool.typical_of > 0 || pool.dead_score > 0) events_.push_back(pool);
+  for (const knowledge::Known& k : learned.known) {
+    const ListedEndpoint* listed = k.lesson.endpoint.empty() ? nullptr : list_.find(k.lesson.endpoint);
+    if (!k.lesson.endpoint.empty() && (!listed || listed->address != k.address)) continue;
+    if (!list_.lists(k.lesson.destination)) continue;
+    Lesson l = knowledge::aged(k.lesson, now);
+    if (l.limit <= 0 && l.samples == 0 && l.risk <= 0 && l.traffic <= 0) continue;
+    l.heard += shift;
+    l.came += shift;
+    events_.push_back(std::move(l));
+  }
+}
+
+knowledge::Known Host::shown(const Lesson& lesson) const {
+  const Micros shift = unixNow() - monotonicNow();
+  knowledge::Known k{lesson, ""};
+  if (k.lesson.heard > 0) k.lesson.heard += shift;
+  if (k.lesson.came > 0) k.lesson.came += shift;
+  const ListedEndpoint* listed = lesson.endpoint.empty() ? nullptr : list_.find(lesson.endpoint);
+  if (listed) k.address = listed->address;
+  return k;
+}
+
+void Host::survey(std::int64_t after, int most, Learned then) {
+  surveyed_ = std::move(then);
+  add(Survey{after, most});
+}
+
+knowledge::Book Host::learned() {
+  knowledge::Book book;
+  surveyed_ = [&](std::vector<knowledge::Known> known, const Surveyed& end) {
+    book.known = std::move(known);
+    book.pool = end.pool;
+  };
+  events_.push_back(Survey{INT64_MIN, INT32_MAX});
+  turn();
+  return book;
+}
+
 std::int64_t Host::list(ListAnswer answer) {
   list_.take(std::move(answer));
   if (!telling_ && list_.pending()) tellList(kListSlice, ListKind::delta);
@@ -249,9 +298,13 @@
     if (const auto* r = std::get_if<Refuse>(&a)) end(r->id, true, r->pause);
     if (const auto* f = std::get_if<Fail>(&a)) end(f->id, false, 0);
     if (const auto* h = std::get_if<Ailment>(&a)) {
+      const Micros shift = unixNow() - last_turn_;
       Ailment kept = *h;
-      kept.cold_since += unixNow() - last_turn_;
+      kept.cold_since += shift;
+      kept.noted += shift;
+      if (kept.wait_until > 0) kept.wait_until += shift;
       journal_.ailing(kept);
+      if (on_ailment_) on_ailment_();
     }
   }
   for (const std::string& id : fresh_) journal_.accepted(held_.at(id).message);
@@ -305,6 +358,23 @@
     }
   }
   wake();
+  tellSurvey(actions);
+}
+
+void Host::tellSurvey(const std::vector<Action>& actions) {
+  const auto end = std::find_if(actions.begin(), actions.end(),
+                                [](const Action& a) { return std::holds_alternative<Surveyed>(a); });
+  if (end == actions.end() || !surveyed_) return;
+  std::vector<knowledge::Known> known;
+  for (const Action& a : actions)
+    if (const auto* l = std::get_if<Lesson>(&a)) known.push_back(shown(*l));
+  Surveyed s = std::get<Surveyed>(*end);
+  const Micros shift = unixNow() - monotonicNow();
+  s.pool.heard += shift;
+  if (s.pool.dead_at > 0) s.pool.dead_at += shift;
+  const Learned then = std::move(surveyed_);
+  surveyed_ = nullptr;
+  then(std::move(known), s);
 }
 
 // The module has ended a message: the client hears it at once, or by a notice if it was taken on before.
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "../carriers/carrier.h"
+#include "../knowledge/book.h"
 #include "../membership/list.h"
 #include "journal.h"
 #include "notices.h"
@@ -26,8 +27,17 @@
   Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
        EndNotices& notices);
 
-  // Takes over what the journal and the configuration know: before clients are served.
-  void recover(const json& known);
+  // Takes over what the journal, the configuration and an earlier process's book know, each as far as it is
+  // still trusted: before clients are served.
+  void recover(const json& known, const knowledge::Book& learned = {});
+  // What the module has learned, in Unix time and with the addresses of endpoints, of `most` destinations
+  // above `after`: in one of the next turns. One survey at a time.
+  using Learned = std::function<void(std::vector<knowledge::Known>, const Surveyed&)>;
+  void survey(std::int64_t after, int most, Learned then);
+  // The same of all, at once: when the process ends.
+  knowledge::Book learned();
+  // Called when health or waits were given to be kept.
+  void onAilment(std::function<void()> then) { on_ailment_ = std::move(then); }
   // An answer of the source of membership; gives the version to go on from. The module hears of a long one in
   // slices, one a turn, so that calls go on meanwhile.
   std::int64_t list(ListAnswer answer);
@@ -54,6 +64,9 @@
   void carryOut(const std::vector<Action>& actions);
   void end(const std::string& id, bool handed_back, Micros pause);
   void wake();
+  void tellSurvey(const std::vector<Action>& actions);
+  void recall(const knowledge::Book& learned, Micros shift);
+  knowledge::Known shown(const Lesson& lesson) const;
   void tellList(std::size_t most, ListKind kind);
   bool knowsDestination(std::int64_t destination) const;
   void over(const std::string& id, const End& end);
@@ -65,6 +78,8 @@
   Settings settings_;
   Sender sender_;
   Tap tap_;
+  Learned surveyed_;
+  std::function<void()> on_ailment_;
   Journal& journal_;
   Carrier& carrier_;
   EndNotices& notices_;
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -177,9 +177,16 @@
   }
   record(index);
 }
-constexpr std::uint64_t kAilment = 128;  // bytes, at most but for a long name
+constexpr std::uint64_t kAilment = 144;  // bytes, at most but for a long name
 std::string ailingPayload(const Ailment& a) {
-  return Writer(kAiling).text(a.endpoint).number(a.destination).number(a.down).number(a.cold_since).out();
+  return Writer(kAiling)
+      .text(a.endpoint)
+      .number(a.destination)
+      .number(a.down)
+      .number(a.cold_since)
+      .number(a.wait_until)
+      .number(a.noted)
+      .out();
 }
 
 std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
@@ -290,7 +297,12 @@
     a.destination = r.number();
     a.down = r.number() != 0;
     a.cold_since = r.number();
-    if (!a.down && a.cold_since < 0) ailments_.erase({a.destination, a.endpoint});
+    a.noted = a.cold_since;
+    if (r.more()) {  // versions before 0.5 kept no waits
+      a.wait_until = r.number();
+      a.noted = r.number();
+    }
+    if (!a.down && a.cold_since < 0 && a.wait_until == 0) ailments_.erase({a.destination, a.endpoint});
     else ailments_[{a.destination, a.endpoint}] = a;
     return;
   }
@@ -355,13 +367,26 @@
 // what is live, and the next one writes as much again beside it.
 bool Journal::reserve(const TakenOn& m) {
   const std::uint64_t more = reserved_ + sizeOf(m) + kSeeThrough, live = liveBytes() + more;
-  auto fits = [&](std::uint64_t file) { return blocks(file) + blocks(live) + kLeastWaste <= disk_; };
-  if (!fits(live)) return false;
-  if (!fits(size_ + buffer_.size() + more) && (!compact() || !fits(size_ + more))) return false;
+  auto fits = [&](std::uint64_t file) { return blocks(file) + blocks(live) + kLeastWaste <= room(); };
+  const auto has_room = [&] {
+    return fits(live) && (fits(size_ + buffer_.size() + more) || (compact() && fits(size_ + more)));
+  };
+  if (!has_room() && (!claim() || !has_room())) return false;
   reserved_ = more;
   return true;
 }
 
+// What stands beside the journal gives way: what was taken on goes first.
+bool Journal::claim() {
+  if (beside_ == 0 || !give_way_ || !give_way_()) return false;
+  beside_ = 0;
+  return true;
+}
+std::uint64_t Journal::spare() const {
+  const std::uint64_t need = blocks(size_ + buffer_.size()) + blocks(liveBytes()) + 4 * kLeastWaste;
+  return need < disk_ ? disk_ - need : 0;
+}
+
 void Journal::append(const std::string& payload) {
   frame(buffer_, payload);
   apply(payload);
@@ -455,7 +480,9 @@
 void Journal::ailing(const Ailment& a) { append(ailingPayload(a)); }
 void Journal::forgetAilments(Micros before) {
   for (auto it = ailments_.begin(); it != ailments_.end();)
-    it = it->second.cold_since < before ? ailments_.erase(it) : std::next(it);
+    it = std::max({it->second.cold_since, it->second.wait_until, it->second.noted}) < before
+             ? ailments_.erase(it)
+             : std::next(it);
 }
 
 bool Journal::writeAll(int fd, const std::string& data) {
@@ -474,11 +501,11 @@
   if (buffer_.empty()) return true;
   const std::uint64_t after = size_ + buffer_.size();
   const std::uint64_t live = liveBytes();
-  const bool must = blocks(after) + blocks(live) + kLeastWaste > disk_;
+  const bool must = blocks(after) + blocks(live) + kLeastWaste > room();
   if (must || (after > 2 * live && after - live > 4 * kLeastWaste)) {
     if (compact()) return true;
   }
-  if (blocks(after) > disk_ || !writeAll(fd_, buffer_)) {
+  if ((blocks(after) > room() && (!claim() || blocks(after) > room())) || !writeAll(fd_, buffer_)) {
     if (::ftruncate(fd_, static_cast<off_t>(size_)) != 0) return false;
     return false;
   }
@@ -514,7 +541,9 @@
     }
     if (e->ended) frame(data, owedPayload(e->message.id, e->notice));
   }
-  if (blocks(size_) + blocks(data.size()) > disk_) return false;
+  if (blocks(size_) + blocks(data.size()) > room() &&
+      (!claim() || blocks(size_) + blocks(data.size()) > room()))
+    return false;
   const int fd = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC | O_APPEND, 0644);
   if (fd < 0) return false;
   if (!writeAll(fd, data) || ::rename(fresh_path_.c_str(), path_.c_str()) != 0) {
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -82,15 +83,24 @@
   bool listed(const std::vector<std::pair<std::string, std::string>>& changes, std::int64_t index,
               bool whole);
   void ailing(const Ailment& a);       // in Unix time; one that is healthy since
-                                       // before 1970 is kept no more
+                                       // before 1970, and waits for nothing, is kept no more
   void forgetAilments(Micros before);  // Unix time: not heard of since
   bool flush();
 
+  // Other files in the folder, which count against its budget: so many bytes of them. Where the journal needs
+  // that room `give_way` is asked to remove them; false: they can't go now.
+  void beside(std::uint64_t bytes) { beside_ = bytes; }
+  void onTight(std::function<bool()> give_way) { give_way_ = std::move(give_way); }
+  // Bytes that the journal leaves of its budget, with some to spare for what comes next.
+  std::uint64_t spare() const;
+
   // What is known of the end of `id`: null if it is open, unknown, or forgotten.
   const Past* past(const std::string& id) const;
   void forgetPast(Micros now);  // Unix time: what may not come again
 
  private:
+  bool claim();
+  std::uint64_t room() const { return disk_ > beside_ ? disk_ - beside_ : 0; }
   void remember(const std::string& id, const Past& past);
   void setEntry(const std::string& name, std::string text);
   void dropList();
@@ -105,6 +115,8 @@
   bool writeAll(int fd, const std::string& data);
 
   std::string path_, fresh_path_;
+  std::uint64_t beside_ = 0;
+  std::function<bool()> give_way_;
   std::uint64_t disk_ = 0, size_ = 0, reserved_ = 0, next_order_ = 0;
   int fd_ = -1;
   std::string buffer_;
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -39,6 +39,7 @@
   if (!o.is_object()) bad("not a JSON object: " + path);
   Config c;
   c.path = path;
+  c.name = variable("GW_NAME", text(o, "name", ""));
   c.listen = variable("GW_LISTEN", text(o, "listen", ""));
   // The file is replaced while the program runs, the environment can't be: it holds at the next start, too.
   c.discovery = text(o, "discovery", "");
--- a/src/daemon/config.h
+++ b/src/daemon/config.h
@@ -10,7 +10,7 @@
 constexpr std::int64_t kSpareSockets = 24;  // files, the agent's connections and the listener
 
 struct Config {
-  std::string path, listen, discovery, state;
+  std::string path, name, listen, discovery, state;
   std::uint64_t seed = 0, disk_bytes = 0;
   std::int64_t sockets = 0;
   json known;
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -77,6 +77,20 @@
   t.unknown(" in log");
 }
 
+// Kept where the program stands alone, unless it says otherwise; on a platform only if it says so.
+void readKnowledge(Table& top, bool alone, DaemonFile& file, std::vector<Mistake>& mistakes) {
+  static const toml::table none;
+  const toml::node* n = top.node("knowledge");
+  if (n && !n->is_table()) return top.expected("knowledge", "a table is expected, begun by [knowledge]");
+  Table t(n ? *n->as_table() : none, "knowledge", mistakes, &file.effective);
+  knowledge::KeeperSpec& k = file.knowledge;
+  k.keep = t.truth("keep", alone);
+  k.interval = t.span("interval", k.interval, 100'000, 24LL * 3600 * 1'000'000);
+  k.most_bytes =
+      static_cast<std::uint64_t>(t.size("size", static_cast<std::int64_t>(k.most_bytes), 4096, 256LL << 20));
+  t.unknown(" in knowledge");
+}
+
 }  // namespace
 
 std::int64_t DaemonFile::connections() const {
@@ -101,6 +115,7 @@
       if (file.doors.empty()) top.mistake("a program that stands alone needs a [[door]]");
       file.site = std::move(site);
     }
+    readKnowledge(top, file.site.has_value(), file, mistakes);
     top.unknown("");
   } catch (const toml::parse_error& e) {
     mistakes.push_back({e.source().begin.line, e.source().begin.column,
--- a/src/daemon/daemon_file.h
+++ b/src/daemon/daemon_file.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "../doors/http/server.h"
+#include "../knowledge/keeper.h"
 #include "../log/log.h"
 #include "site.h"
 
@@ -25,6 +26,7 @@
   std::string path;
   std::vector<DoorSpec> doors;
   log::Spec log;
+  knowledge::KeeperSpec knowledge;
   std::optional<Site> site;          // there if the program can stand alone by this file
   std::vector<Effective> effective;  // every value, in the order of reading
   // Connections of all doors together.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,11 +1,14 @@
 // grademux: the command line of the sender.
 #include <CLI/CLI.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 
+#include "../knowledge/command.h"
+#include "../membership/partners.h"
 #include "service.h"
 
 using namespace grademux;
@@ -84,6 +87,15 @@
   return 0;
 }
 
+// Names begin with no digit, so that a number is one.
+int forget(const std::string& folder, const std::string& which) {
+  if (which.empty()) return knowledge::forget(folder, std::nullopt);
+  std::int64_t number = 0;
+  const auto end = which.data() + which.size();
+  const auto [rest, error] = std::from_chars(which.data(), end, number);
+  return knowledge::forget(folder, error == std::errc() && rest == end ? number : numberOfName(which));
+}
+
 int run(const std::string& path, const Recording& recording) {
   try {
     std::signal(SIGPIPE, SIG_IGN);
@@ -142,11 +154,23 @@
   inits->add_option("FOLDER", folder, "made if it isn't there (.)");
   CLI::App* runs = app.add_subcommand("run", "runs the sender, as without a subcommand");
   runs->add_option("--daemon", daemon, "the daemon file")->type_name("FILE");
+  std::string state, which;
+  bool as_json = false;
+  CLI::App* knows = app.add_subcommand("knowledge", "what a sender has learned of its destinations");
+  CLI::App* shows = knows->add_subcommand("show", "prints it, and how far it is still trusted");
+  shows->add_option("FOLDER", state, "the folder of the journal")->required();
+  shows->add_flag("--json", as_json, "as one JSON object");
+  CLI::App* forgets = knows->add_subcommand("forget", "removes it; a sender that runs writes it again");
+  forgets->add_option("FOLDER", state, "the folder of the journal")->required();
+  forgets->add_option("--destination", which, "a partner's name, or a number; without it all");
+  knows->require_subcommand(1);
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : kUnusable; }
   recording.most_bytes = most_mb << 20;
   if (inits->parsed()) return init(folder);
+  if (shows->parsed()) return knowledge::show(state, as_json);
+  if (forgets->parsed()) return forget(state, which);
   return checks->parsed() ? check(file, effective) : run(daemon, recording);
 }
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -11,6 +11,7 @@
 #include "../core/host.h"
 #include "../discovery/discovery.h"
 #include "../doors/resp/server.h"
+#include "../knowledge/keeper.h"
 #include "../log/log.h"
 #include "../membership/partner_names.h"
 #include "../membership/sources.h"
@@ -126,7 +127,16 @@
       watcher_ = watcher.get();
       membership_ = std::move(watcher);
     }
-    host_->recover(config_.known);
+    keeper_ = std::make_unique<knowledge::Keeper>(
+        io, worker_, daemon_.knowledge, config_.state, config_.name,
+        [this](std::int64_t after, int most, knowledge::Keeper::Learned then) {
+          host_->survey(after, most, std::move(then));
+        },
+        [this] { return journal_->spare(); }, [this](std::uint64_t bytes) { journal_->beside(bytes); });
+    journal_->onTight([this] { return keeper_->giveWay(); });
+    host_->onAilment([this] { keeper_->soon(); });
+    host_->recover(config_.known, keeper_->read());
+    keeper_->start();
     membership_->start(host_->version());
     if (clients_) clients_->start(*admission_);
     doors_.start(*admission_);
@@ -215,6 +225,7 @@
         fresh.site = std::move(now);
       }
       daemon_ = std::move(fresh);
+      keeper_->change(daemon_.knowledge);
       if (sources_) sources_->change(daemon_.site->sources);
       log::write(log::Event::daemon_file_reloaded,
                  {{"doors", doors_.count()}, {"partners", partners()}, {"needs_restart", later}});
@@ -241,6 +252,7 @@
                        carrier_->out() == 0 && notices_->owed() == 0 && host_->idle();
     if (quiet || since >= kStopAfter) {
       signals_.cancel();
+      if (daemon_.knowledge.keep) keeper_->finish(host_->learned());
       return static_cast<boost::asio::io_context&>(look_.get_executor().context()).stop();
     }
     look_.expires_after(std::chrono::microseconds(kLook));
@@ -262,6 +274,7 @@
   Notices* platform_notices_ = nullptr;  // the same, on a platform
   std::unique_ptr<HttpCarrier> carrier_;
   std::unique_ptr<Host> host_;
+  std::unique_ptr<knowledge::Keeper> keeper_;
   std::unique_ptr<Admission> admission_;
   std::unique_ptr<Membership> membership_;
   PartnerSources* sources_ = nullptr;  // the same, standing alone
--- a/src/daemon/site.cpp
+++ b/src/daemon/site.cpp
@@ -144,6 +144,7 @@
 Config configOf(const Site& site, const std::string& path) {
   Config c;
   c.path = path;
+  c.name = "alone";
   const std::filesystem::path folder = placed(site.folder, path);
   std::error_code e;
   std::filesystem::create_directories(folder, e);
--- a/src/decision/containers.h
+++ b/src/decision/containers.h
@@ -106,6 +106,10 @@
     rate_ = perSecond(now, span) + 1 / span;
     at_ = now;
   }
+  void set(std::int64_t now, double rate) {
+    rate_ = rate;
+    at_ = now;
+  }
   std::int64_t latest() const { return at_; }
 
  private:
--- a/src/decision/health.h
+++ b/src/decision/health.h
@@ -128,9 +128,11 @@
   // cold.
   void keepHealth(Server& s, bool was_down) {
     Guard& g = scope(s);
-    if (g.down == was_down && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
+    const bool waits = g.wait_until > now && g.wait_until > g.noted_wait;
+    if (!waits && g.down == was_down && std::abs(g.cold_since - g.noted) <= set.fall_span / 2) return;
     g.noted = g.cold_since;
-    acts.push_back(Ailment{apart(s) ? s.id : "", s.dest->id, g.down, g.cold_since});
+    g.noted_wait = g.wait_until > now ? g.wait_until : 0;
+    acts.push_back(Ailment{apart(s) ? s.id : "", s.dest->id, g.down, g.cold_since, g.noted_wait, now});
   }
 
   void onAilment(const Ailment& a) {
@@ -141,6 +143,7 @@
     old_dests.at(now + kept(), a.destination);
     g.down = a.down;
     g.cold_since = g.noted = a.cold_since;
+    g.wait_until = g.noted_wait = a.wait_until;
     if (a.down) g.streak = std::max(g.streak, 1);
   }
 
--- a/src/decision/logic.cpp
+++ b/src/decision/logic.cpp
@@ -1,14 +1,14 @@
 // grademux: THE decision module. Its interface stands in include/grademux/sender.h, its sections in the
 // headers beside this file; docs/design.md tells what each does. Here: the turn.
 #include "check.h"
-#include "membership.h"
+#include "recall.h"
 
 namespace grademux {
 
 namespace decision {
 
-struct Turn : Membership {
-  using Membership::Membership;
+struct Turn : Recall {
+  using Recall::Recall;
 
   void on(const Arrival& e) { onArrival(e); }
   void on(const Resumed& e) { onResumed(e); }
@@ -17,6 +17,9 @@
   void on(const Outcome& e) { onOutcome(e); }
   void on(const ListUpdate& e) { onList(e); }
   void on(const Wake&) {}
+  void on(const Lesson& e) { onLesson(e); }
+  void on(const Experience& e) { onExperience(e); }
+  void on(const Survey& e) { onSurvey(e); }
   void on(const Started& e) {
     auto it = messages.find(e.id);
     if (it != messages.end()) it->second.streaming = true;
--- a/src/decision/retention.h
+++ b/src/decision/retention.h
@@ -31,7 +31,7 @@
       return g.wait_until > now || now - std::max({g.cold_since, g.last_end, used}) < kept();
     };
     const auto forget_health = [this](const Guard& g, const std::string& endpoint, std::int64_t destination) {
-      if (g.noted != -kNever) acts.push_back(Ailment{endpoint, destination, false, -kNever});
+      if (g.noted != -kNever) acts.push_back(Ailment{endpoint, destination, false, -kNever, 0, now});
     };
     std::string id;
     while (old_servers.due(now, id)) {
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -39,9 +39,9 @@
   int streak = 0, refused = 0;  // failures, refusals since the last success
   Micros last_ok = -kNever, first_bad = kNever, last_end = -kNever;
   bool down = false;
-  Micros noted = -kNever;       // cold_since as last given to the host to keep
-  Micros cold_since = -kNever;  // the latest moment at which it was not known to be back
-  int overdue = 0;              // calls out far too long, with none answered since they left
+  Micros noted = -kNever, noted_wait = 0;  // cold_since, wait_until as last given to the host to keep
+  Micros cold_since = -kNever;             // the latest moment at which it was not known to be back
+  int overdue = 0;                         // calls out far too long, with none answered since they left
 };
 
 struct Dest;
--- /dev/null
+++ b/src/knowledge/book.cpp
@@ -0,0 +1,214 @@
+// grademux: the file of what was learned; see book.h.
+#include "book.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cmath>
+#include <cstdio>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+namespace grademux::knowledge {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kFrame = 12;            // bytes before a payload
+constexpr std::size_t kMostRecord = 1 << 16;  // a longer one is damage
+constexpr std::size_t kMostFile = 256u << 20;
+constexpr const char* kWhat = "grademux knowledge";
+
+void number(std::string& out, std::uint64_t n, int bytes) {
+  for (int i = 0; i < bytes; ++i) out.push_back(static_cast<char>(n >> (8 * i) & 0xff));
+}
+std::uint64_t numberAt(const std::string& in, std::size_t at, int bytes) {
+  std::uint64_t n = 0;
+  for (int i = 0; i < bytes; ++i)
+    n |= static_cast<std::uint64_t>(static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]))
+         << (8 * i);
+  return n;
+}
+
+void frame(std::string& out, const json& record) {
+  std::string payload;
+  json::to_msgpack(record, payload);
+  number(out, payload.size(), 4);
+  number(out, XXH3_64bits(payload.data(), payload.size()), 8);
+  out += payload;
+}
+
+// A field of the right kind, or what stands for unknown.
+template <class T>
+T value(const json& j, const char* name, T otherwise) {
+  const auto at = j.find(name);
+  if (at == j.end()) return otherwise;
+  if constexpr (std::is_same_v<T, std::string>) return at->is_string() ? at->get<std::string>() : otherwise;
+  else if constexpr (std::is_same_v<T, bool>) return at->is_boolean() ? at->get<bool>() : otherwise;
+  else if constexpr (std::is_floating_point_v<T>) {
+    const double d = at->is_number() ? at->get<double>() : otherwise;
+    return std::isfinite(d) && d >= 0 ? d : otherwise;
+  } else return at->is_number_integer() ? at->get<T>() : otherwise;
+}
+
+json shown(const Known& k) {
+  const Lesson& l = k.lesson;
+  json j = {{"d", l.destination}, {"heard", l.heard}};
+  if (!l.endpoint.empty()) j["e"] = l.endpoint;
+  if (!k.address.empty()) j["at"] = k.address;
+  if (l.limit > 0) j["limit"] = l.limit;
+  if (l.told) j["told"] = true;
+  if (l.part > 0) j["part"] = l.part;
+  if (l.samples > 0) j["usual"] = l.usual, j["n"] = l.samples;
+  if (l.risk > 0) j["risk"] = l.risk;
+  if (l.traffic > 0) j["traffic"] = l.traffic, j["came"] = l.came;
+  return j;
+}
+
+Known knownOf(const json& j) {
+  Known k;
+  Lesson& l = k.lesson;
+  l.destination = value<std::int64_t>(j, "d", 0);
+  l.heard = value<Micros>(j, "heard", 0);
+  l.endpoint = value<std::string>(j, "e", "");
+  k.address = value<std::string>(j, "at", "");
+  l.limit = value<double>(j, "limit", 0);
+  l.told = value<bool>(j, "told", false);
+  l.part = value<double>(j, "part", 0);
+  l.usual = std::max<Micros>(0, value<Micros>(j, "usual", 0));
+  l.samples = l.usual > 0 ? std::max(0, value<int>(j, "n", 0)) : 0;
+  l.risk = std::min(1.0, value<double>(j, "risk", 0));
+  l.traffic = value<double>(j, "traffic", 0);
+  l.came = value<Micros>(j, "came", 0);
+  return k;
+}
+
+json shown(const Experience& p) {
+  return {{"heard", p.heard},           {"typical", p.typical},       {"n", p.typical_of},
+          {"dead_score", p.dead_score}, {"dead_least", p.dead_least}, {"dead_at", p.dead_at}};
+}
+Experience experienceOf(const json& j) {
+  Experience p;
+  p.heard = value<Micros>(j, "heard", 0);
+  p.typical = value<double>(j, "typical", 0);
+  p.typical_of = std::max(0, value<int>(j, "n", 0));
+  p.dead_score = value<double>(j, "dead_score", 0);
+  p.dead_least = std::max<Micros>(0, value<Micros>(j, "dead_least", 0));
+  p.dead_at = value<Micros>(j, "dead_at", 0);
+  return p;
+}
+
+}  // namespace
+
+std::string encode(const Book& book, std::uint64_t most_bytes, std::size_t& left_out) {
+  std::string out;
+  frame(out, {{"what", kWhat},
+              {"form", kForm},
+              {"sender", book.sender},
+              {"written", book.written},
+              {"pool", shown(book.pool)}});
+  std::vector<const Known*> newest;
+  for (const Known& k : book.known) newest.push_back(&k);
+  const auto at = [](const Known* k) { return std::max(k->lesson.heard, k->lesson.came); };
+  std::stable_sort(newest.begin(), newest.end(), [&](auto* a, auto* b) { return at(a) > at(b); });
+  left_out = 0;
+  for (std::size_t i = 0; i < newest.size(); ++i) {
+    const std::size_t before = out.size();
+    frame(out, shown(*newest[i]));
+    if (out.size() <= most_bytes) continue;
+    out.resize(before);
+    left_out = newest.size() - i;
+    break;
+  }
+  return out.size() <= most_bytes ? out : "";
+}
+
+Reading decode(const std::string& bytes, const std::string& sender) {
+  Reading r;
+  r.there = true;
+  bool head = false;
+  for (std::size_t at = 0; at < bytes.size();) {
+    const std::size_t left = bytes.size() - at;
+    const std::uint64_t size = left >= kFrame ? numberAt(bytes, at, 4) : 0;
+    if (left < kFrame || size > kMostRecord || size > left - kFrame) {
+      ++r.damaged;  // no frame can be told from here on
+      break;
+    }
+    const char* payload = bytes.data() + at + kFrame;
+    const bool sound = XXH3_64bits(payload, size) == numberAt(bytes, at + 4, 8);
+    at += kFrame + size;
+    const json j =
+        sound ? json::from_msgpack(payload, payload + size, true, false) : json(json::value_t::discarded);
+    if (!j.is_object()) {
+      ++r.damaged;
+      if (!head) break;
+      continue;
+    }
+    if (head) {
+      r.book.known.push_back(knownOf(j));
+      continue;
+    }
+    head = true;
+    r.book.sender = value<std::string>(j, "sender", "");
+    r.book.written = value<Micros>(j, "written", 0);
+    const int form = value<int>(j, "form", 0);
+    if (value<std::string>(j, "what", "") != kWhat) r.refused = "not a file of knowledge";
+    else if (form != kForm)
+      r.refused = "it has form " + std::to_string(form) + ", " + std::to_string(kForm) + " is read here";
+    else if (!sender.empty() && r.book.sender != sender)
+      r.refused = "it is of " + r.book.sender + ", this is " + sender;
+    if (!r.refused.empty()) return r;
+    const auto pool = j.find("pool");
+    if (pool != j.end() && pool->is_object()) r.book.pool = experienceOf(*pool);
+  }
+  if (!head) r.refused = bytes.empty() ? "it is empty" : "its head is damaged";
+  return r;
+}
+
+Reading readBook(const std::string& path, const std::string& sender) {
+  Reading r;
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) {
+    r.there = errno != ENOENT;
+    if (r.there) r.refused = std::strerror(errno);
+    return r;
+  }
+  std::string bytes;
+  char piece[65536];
+  for (;;) {
+    const ssize_t n = ::read(fd, piece, sizeof piece);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) r.refused = std::strerror(errno);
+    if (n <= 0 || bytes.size() > kMostFile) break;
+    bytes.append(piece, static_cast<std::size_t>(n));
+  }
+  ::close(fd);
+  r.there = true;
+  return r.refused.empty() ? decode(bytes, sender) : r;
+}
+
+std::string writeBook(const std::string& path, const std::string& bytes) {
+  const std::string fresh = path + ".new";
+  const auto failed = [&](int fd) {
+    const std::string why = std::strerror(errno);
+    if (fd >= 0) ::close(fd);
+    ::unlink(fresh.c_str());
+    return why;
+  };
+  const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (fd < 0) return failed(fd);
+  for (std::size_t done = 0; done < bytes.size();) {
+    const ssize_t n = ::write(fd, bytes.data() + done, bytes.size() - done);
+    if (n < 0 && errno == EINTR) continue;
+    if (n < 0) return failed(fd);
+    done += static_cast<std::size_t>(n);
+  }
+  if (::close(fd) != 0 || std::rename(fresh.c_str(), path.c_str()) != 0) return failed(-1);
+  return "";
+}
+
+}  // namespace grademux::knowledge
--- /dev/null
+++ b/src/knowledge/book.h
@@ -0,0 +1,48 @@
+// grademux: what a sender has learned, as a file: records with a checksum each. Reading one never throws and
+// never trusts: what is damaged is left out and counted, what is of another sender or of a newer form is left
+// as a whole. Times are Unix time in microseconds.
+//
+// The file: frames of a length (4 bytes, little-endian), XXH3-64 of the payload (8 bytes) and the payload, a
+// map in MessagePack. The first one heads the file. Fields that a reader doesn't know are skipped, absent
+// ones are unknown; the form's number rises only when a field changes its meaning.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "grademux/sender.h"
+
+namespace grademux::knowledge {
+
+constexpr int kForm = 1;
+
+struct Known {
+  Lesson lesson;
+  std::string address;  // of an endpoint when that was learned: another one is another machine
+};
+
+struct Book {
+  std::string sender;
+  Micros written = 0;
+  Experience pool;
+  std::vector<Known> known;
+};
+
+// With `most_bytes` as a bound, what was heard of longest ago is left out, and counted.
+std::string encode(const Book& book, std::uint64_t most_bytes, std::size_t& left_out);
+
+struct Reading {
+  Book book;
+  bool there = false;
+  std::string refused;      // why nothing of it is used
+  std::size_t damaged = 0;  // records, at least, that are not used
+};
+// `sender`: whose it has to be; empty: anyone's.
+Reading decode(const std::string& bytes, const std::string& sender);
+Reading readBook(const std::string& path, const std::string& sender);
+
+// Beside the old one, then renamed over it. Empty, or what went wrong; then the old one is as it was.
+std::string writeBook(const std::string& path, const std::string& bytes);
+
+}  // namespace grademux::knowledge
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -40,6 +40,11 @@
   attempt_ended,
   message_ended,
   message_orphaned,
+  knowledge_read,
+  knowledge_refused,
+  knowledge_damaged,
+  knowledge_written,
+  knowledge_write_failed,
   log_left_out,
   count  // of them
 };
@@ -108,6 +113,16 @@
     {Event::message_ended, "message.ended", Level::debug, "message outcome attempts", "a message's one end"},
     {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
      "it ends undelivered since what it was meant for is not there any more"},
+    {Event::knowledge_read, "knowledge.read", Level::info, "records age_ms took_us",
+     "what an earlier process learned is used, each as far as it is still trusted"},
+    {Event::knowledge_refused, "knowledge.refused", Level::warning, "cause",
+     "what an earlier process learned can't be used; the program begins without it"},
+    {Event::knowledge_damaged, "knowledge.damaged", Level::warning, "records",
+     "so many records, at least, are not used"},
+    {Event::knowledge_written, "knowledge.written", Level::debug, "records left_out bytes took_us",
+     "what was learned is kept"},
+    {Event::knowledge_write_failed, "knowledge.write_failed", Level::warning, "cause",
+     "what was learned can't be kept now; told once until it can"},
     {Event::log_left_out, "log.left_out", Level::warning, "event lines",
      "so many lines of a kind were over its rate"},
 };
--- a/src/membership/list.h
+++ b/src/membership/list.h
@@ -58,6 +58,10 @@
   std::int64_t index() const { return index_; }  // of the last answer
   std::size_t size() const { return known_.size(); }
   bool lists(std::int64_t destination) const { return destinations_.count(destination) > 0; }
+  const ListedEndpoint* find(const std::string& endpoint) const {
+    const auto at = known_.find(endpoint);
+    return at == known_.end() ? nullptr : &at->second;
+  }
 
  private:
   void change(ListChange c);
--- a/src/replay/stream_codec.cpp
+++ b/src/replay/stream_codec.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr const char* kEvents[] = {"arrival", "resumed", "ailment", "stopping", "gone",
-                                   "started", "outcome", "list",    "wake"};
-constexpr const char* kActions[] = {"send",  "cancel",     "refuse", "fail",
-                                    "watch", "close_idle", "wake",   "ailment"};
+constexpr const char* kEvents[] = {"arrival", "resumed", "ailment", "stopping", "gone", "started",
+                                   "outcome", "list",    "wake",    "lesson",   "pool", "survey"};
+constexpr const char* kActions[] = {"send",       "cancel", "refuse",  "fail",   "watch",
+                                    "close_idle", "wake",   "ailment", "lesson", "surveyed"};
 static_assert(std::size(kEvents) == std::variant_size_v<Event>);
 static_assert(std::size(kActions) == std::variant_size_v<Action>);
 
@@ -124,6 +124,42 @@
   v("destination", x.destination);
   v("down", x.down);
   v("cold_since", x.cold_since);
+  v.later("wait_until", x.wait_until);
+  v.later("noted", x.noted);
+}
+GRADEMUX_END;
+GRADEMUX_FIELDS(Lesson) {
+  v("endpoint", x.endpoint);
+  v("destination", x.destination);
+  v("limit", x.limit);
+  v("told", x.told);
+  v("part", x.part);
+  v("usual", x.usual);
+  v("samples", x.samples);
+  v("risk", x.risk);
+  v("traffic", x.traffic);
+  v("heard", x.heard);
+  v("came", x.came);
+}
+GRADEMUX_END;
+GRADEMUX_FIELDS(Experience) {
+  v("typical", x.typical);
+  v("typical_of", x.typical_of);
+  v("dead_score", x.dead_score);
+  v("dead_least", x.dead_least);
+  v("dead_at", x.dead_at);
+  v("heard", x.heard);
+}
+GRADEMUX_END;
+GRADEMUX_FIELDS(Survey) {
+  v("after", x.after);
+  v("most", x.most);
+}
+GRADEMUX_END;
+GRADEMUX_FIELDS(Surveyed) {
+  v("after", x.after);
+  v("all", x.all);
+  v("pool", x.pool);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(Stopping) { v("at", x.at); }
--- a/src/sim/simhost.cpp
+++ b/src/sim/simhost.cpp
@@ -208,6 +208,8 @@
       }
       json operator()(const Fail& a) const { return {{"FinishError", {{"Who", who}, {"OpId", a.id}}}}; }
       json operator()(const Ailment&) const { return nullptr; }  // here nothing outlasts a process
+      json operator()(const Lesson&) const { return nullptr; }
+      json operator()(const Surveyed&) const { return nullptr; }
       json operator()(const grademux::Watch&) const { return {{"Watch", {{"Who", who}, {"Active", true}}}}; }
       json operator()(const CloseIdle& a) const {
         return {{"Disconnect", {{"Who", who}, {"Endpoint", a.endpoint}}}};
--- a/tests/core/journal_test.cpp
+++ b/tests/core/journal_test.cpp
@@ -387,5 +387,53 @@
   EXPECT_EQ(again.recovered().ailments[0].destination, 3);
 }
 
+// What else stands in the folder counts against its budget, and goes before a message is turned away.
+TEST(JournalBeside, GivesWayWhereTheJournalNeedsTheRoom) {
+  const auto fill = [](bool gives_way, int& asked) {
+    loopback::TempFolder folder;
+    Journal j(folder.path(), 2'000'000);
+    j.beside(1'000'000);
+    j.onTight([&] {
+      ++asked;
+      return gives_way;
+    });
+    int n = 0;
+    for (; n < 100; ++n) {
+      TakenOn m;
+      m.id = "m" + std::to_string(n);
+      m.body.assign(50'000, 'x');
+      if (!j.reserve(m)) break;
+      j.accepted(m);
+      EXPECT_TRUE(j.flush());
+      std::error_code e;
+      const auto size = std::filesystem::file_size(folder.path() + "/journal", e);
+      EXPECT_LE(size, asked > 0 && gives_way ? 2'000'000u : 1'000'000u);
+    }
+    if (gives_way) EXPECT_LT(j.spare(), 200'000u);
+    return n;
+  };
+  int stays = 0, goes = 0;
+  EXPECT_LE(fill(false, stays), 10);
+  EXPECT_GT(stays, 0);
+  EXPECT_GE(fill(true, goes), 17);
+  EXPECT_EQ(goes, 1);
+}
+
+// A journal of a version that kept no waits is read; a wait is kept, and goes when it is over and nothing
+// ails.
+TEST(JournalAilments, KeepAToldWait) {
+  loopback::TempFolder folder;
+  {
+    Journal j(folder.path(), 3'000'000);
+    j.ailing({"", 7, false, -5, 900, 100});
+    j.ailing({"", 8, false, -5, 0, 100});
+    EXPECT_TRUE(j.flush());
+  }
+  const Journal j(folder.path(), 3'000'000);
+  ASSERT_EQ(j.recovered().ailments.size(), 1u);
+  EXPECT_EQ(j.recovered().ailments[0].wait_until, 900);
+  EXPECT_EQ(j.recovered().ailments[0].noted, 100);
+}
+
 }  // namespace
 }  // namespace grademux
--- /dev/null
+++ b/tests/decision/recall_test.cpp
@@ -0,0 +1,150 @@
+// What was learned is given out, and the next process acts on it as the one before would have.
+#include "rig.h"
+
+namespace grademux {
+namespace {
+
+// Plays traffic at 20 a second at a destination with a told limit, so that all there is to learn is learned.
+void teach(Rig& r, std::int64_t dest, int messages, double limit = 60) {
+  for (int i = 0; i < messages; ++i) {
+    const std::string id = "t" + std::to_string(dest) + "-" + std::to_string(i);
+    r.at(r.now + 30 * kMs);
+    r.arrive(id, "safe", dest);
+    Outcome o = r.outcome(id, 0, Result::ok, 20 * kMs);
+    o.report = LimitReport{0.8, limit};
+    r.at(r.now + 20 * kMs).run({o});
+  }
+}
+std::vector<Lesson> lessonsOf(Rig& r, int most = 1000) {
+  std::vector<Lesson> all;
+  Survey q;
+  q.most = most;
+  for (;;) {
+    r.run({q});
+    for (const Lesson& l : r.got<Lesson>()) all.push_back(l);
+    const auto end = r.got<Surveyed>();
+    EXPECT_EQ(end.size(), 1u);
+    if (end.empty() || end[0].all) return all;
+    q.after = end[0].after;
+  }
+}
+std::vector<Endpoint> twoOf(std::int64_t dest) {
+  return {makeEndpoint("e" + std::to_string(dest), dest), makeEndpoint("f" + std::to_string(dest), dest)};
+}
+
+TEST(Recall, ASurveyTellsEachDestinationOnceInSlices) {
+  Rig r;
+  r.at(100 * kS);
+  std::vector<Endpoint> all;
+  for (int d = 1; d <= 7; ++d) all.push_back(makeEndpoint("e" + std::to_string(d), d));
+  r.list(all);
+  for (int d = 1; d <= 6; ++d) teach(r, d, 5);  // nothing is known of the seventh
+  for (const int most : {1, 2, 3, 1000}) {
+    const std::vector<Lesson> lessons = lessonsOf(r, most);
+    EXPECT_EQ(lessons.size(), 12u) << most;  // each destination, and its endpoint
+    for (const Lesson& l : lessons) {
+      EXPECT_EQ(l.usual, 20 * kMs);
+      EXPECT_EQ(l.endpoint.empty(), l.told);
+      if (l.endpoint.empty()) EXPECT_EQ(l.limit, 60);
+    }
+  }
+}
+
+TEST(Recall, TheNextProcessActsOnIt) {
+  Rig first;
+  first.at(100 * kS).list(twoOf(1));
+  teach(first, 1, 100);
+  const std::vector<Lesson> lessons = lessonsOf(first);
+  const auto timeoutAfter = [&](const std::vector<Lesson>& told) {
+    Rig next;
+    next.at(first.now + kS).list(twoOf(1));
+    next.run({told.begin(), told.end()});
+    next.arrive("m", "safe", 1);
+    return next.timeout["m"];
+  };
+  EXPECT_LT(timeoutAfter(lessons), 400 * kMs);
+  EXPECT_EQ(timeoutAfter({}), 2 * kS);  // nothing known: the whole aim
+
+  // Cold at the kill: what the sender usually sends is what its ramp begins from.
+  const auto sentInRamp = [&](const std::vector<Lesson>& told) {
+    Rig next;
+    next.at(first.now + kS).list(twoOf(1));
+    std::vector<Event> events(told.begin(), told.end());
+    for (Event& e : events) std::get<Lesson>(e).limit = std::get<Lesson>(e).part = 0;  // no limit known
+    events.emplace_back(Ailment{"", 1, false, next.now - kS, 0, next.now});
+    for (int i = 0; i < 60; ++i)
+      events.emplace_back(Resumed{next.arrival("r" + std::to_string(i), "safe", 1), {}});
+    std::size_t sent = 0;
+    std::vector<std::string> out = next.run(events);
+    for (int k = 0; k < 100; ++k) {
+      sent += out.size();
+      std::vector<Event> ends;
+      for (const std::string& id : out) ends.emplace_back(next.outcome(id, 0, Result::ok, 20 * kMs));
+      ends.emplace_back(Wake{});
+      out = next.at(next.now + 20 * kMs).run(ends);
+    }
+    return sent;
+  };
+  EXPECT_GT(sentInRamp(lessons), 8u);
+  EXPECT_LT(sentInRamp(lessons), 40u);  // it is a ramp nevertheless
+}
+
+TEST(Recall, AToldWaitOutlastsTheProcess) {
+  Rig first;
+  first.at(100 * kS).list(twoOf(1));
+  first.arrive("m", "safe", 1);
+  first.at(101 * kS).end("m", 0, Result::full, 10 * kMs, 900 * kMs);  // too short for an outage
+  const auto kept = first.got<Ailment>();
+  ASSERT_EQ(kept.size(), 1u);
+  EXPECT_FALSE(kept[0].down);
+  EXPECT_EQ(kept[0].wait_until, 101 * kS + 900 * kMs);
+  Rig next;
+  next.at(101 * kS + 300 * kMs).list(twoOf(1));
+  EXPECT_TRUE(next.run({kept[0], Resumed{next.arrival("m", "safe", 1), {}}}).empty());
+  EXPECT_TRUE(next.at(101 * kS + 890 * kMs).wake().empty());
+  EXPECT_EQ(next.at(101 * kS + 905 * kMs).wake().size(), 1u);  // and no ramp: nothing was down
+  EXPECT_EQ(next.arrive("n", "safe", 1).size(), 1u);
+}
+
+TEST(Recall, WhatTheProcessKnowsItselfOrCantPlaceIsNotReplaced) {
+  Rig r;
+  r.at(100 * kS).list(twoOf(1));
+  teach(r, 1, 10);
+  Lesson l;
+  l.destination = 1;
+  l.limit = 5;
+  l.told = true;
+  l.usual = 9 * kS;
+  l.samples = 8;
+  l.heard = 99 * kS;
+  Lesson other = l;
+  other.endpoint = "e1";
+  other.destination = 2;  // listed for another destination
+  Lesson unknown = l;
+  unknown.endpoint = "nobody";
+  r.run({l, other, unknown});
+  for (const Lesson& known : lessonsOf(r)) {
+    EXPECT_EQ(known.usual, 20 * kMs);
+    EXPECT_NE(known.limit, 5);
+  }
+}
+
+TEST(Recall, ALimitThatChangedMeanwhileIsLearnedFromTheNextAnswers) {
+  Rig r;
+  r.at(100 * kS).list(twoOf(1));
+  Lesson l;
+  l.destination = 1;
+  l.limit = 100;
+  l.told = true;
+  l.part = 1;
+  l.heard = 99 * kS;
+  r.run({l});
+  teach(r, 1, 12, 50);
+  double limit = 0;
+  for (const Lesson& known : lessonsOf(r))
+    if (known.endpoint.empty()) limit = known.limit;
+  EXPECT_LT(limit, 55);
+}
+
+}  // namespace
+}  // namespace grademux
--- a/tests/decision/streams.h
+++ b/tests/decision/streams.h
@@ -207,6 +207,8 @@
     add(&a.destination, sizeof a.destination);
     add(&a.down, sizeof a.down);
   }
+  void act(const Lesson& l) { add(l.endpoint); }
+  void act(const Surveyed&) { add("surveyed"); }
   void act(const Watch&) { add("watch"); }
 
   StreamShape shape_;
