Knowledge: moments before 1970 are unknown; tests of recall, full disk, other machines

A spoilt file with a sound checksum could hold a moment whose difference to now does not fit; such moments are unknown now. New tests: three senders restarted at once before what is cold (and that they push it over as if nothing were known), lessons only for the machine they were learned of, a disk that is full in the middle of a write.

--- a/src/knowledge/book.cpp
+++ b/src/knowledge/book.cpp
@@ -55,6 +55,9 @@
   } else return at->is_number_integer() ? at->get<T>() : otherwise;
 }
 
+// A moment, or a span: never before 1970, so that differences fit.
+Micros moment(const json& j, const char* name) { return std::max<Micros>(0, value<Micros>(j, name, 0)); }
+
 json shown(const Known& k) {
   const Lesson& l = k.lesson;
   json j = {{"d", l.destination}, {"heard", l.heard}};
@@ -73,17 +76,17 @@
   Known k;
   Lesson& l = k.lesson;
   l.destination = value<std::int64_t>(j, "d", 0);
-  l.heard = value<Micros>(j, "heard", 0);
+  l.heard = moment(j, "heard");
   l.endpoint = value<std::string>(j, "e", "");
   k.address = value<std::string>(j, "at", "");
   l.limit = value<double>(j, "limit", 0);
   l.told = value<bool>(j, "told", false);
   l.part = value<double>(j, "part", 0);
-  l.usual = std::max<Micros>(0, value<Micros>(j, "usual", 0));
+  l.usual = moment(j, "usual");
   l.samples = l.usual > 0 ? std::max(0, value<int>(j, "n", 0)) : 0;
   l.risk = std::min(1.0, value<double>(j, "risk", 0));
   l.traffic = value<double>(j, "traffic", 0);
-  l.came = value<Micros>(j, "came", 0);
+  l.came = moment(j, "came");
   return k;
 }
 
@@ -93,12 +96,12 @@
 }
 Experience experienceOf(const json& j) {
   Experience p;
-  p.heard = value<Micros>(j, "heard", 0);
+  p.heard = moment(j, "heard");
   p.typical = value<double>(j, "typical", 0);
   p.typical_of = std::max(0, value<int>(j, "n", 0));
   p.dead_score = value<double>(j, "dead_score", 0);
-  p.dead_least = std::max<Micros>(0, value<Micros>(j, "dead_least", 0));
-  p.dead_at = value<Micros>(j, "dead_at", 0);
+  p.dead_least = moment(j, "dead_least");
+  p.dead_at = moment(j, "dead_at");
   return p;
 }
 
@@ -154,7 +157,7 @@
     }
     head = true;
     r.book.sender = value<std::string>(j, "sender", "");
-    r.book.written = value<Micros>(j, "written", 0);
+    r.book.written = moment(j, "written");
     const int form = value<int>(j, "form", 0);
     if (value<std::string>(j, "what", "") != kWhat) r.refused = "not a file of knowledge";
     else if (form != kForm)
--- a/tests/core/host_test.cpp
+++ b/tests/core/host_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "../../src/core/clock.h"
 #include "../../src/discovery/discovery.h"
 #include "../decision/rig.h"
 #include "../support/loopback.h"
@@ -147,5 +148,74 @@
   EXPECT_EQ(other[0].code, "unknown-destination");
 }
 
+// What was learned of an endpoint is not taken for another machine's, that of a destination which is listed
+// no more, or that is too old, for nobody's.
+TEST(Host, LessonsAreTakenInForTheMachineTheyWereLearnedOf) {
+  for (const bool same : {true, false}) {
+    Core c;
+    std::vector<Lesson> heard;
+    std::size_t pools = 0;
+    c.host.tap([&](Micros, const std::vector<Event>& events, const std::vector<Action>&) {
+      for (const Event& e : events) {
+        if (const auto* l = std::get_if<Lesson>(&e)) heard.push_back(*l);
+        pools += std::holds_alternative<Experience>(e);
+      }
+    });
+    knowledge::Book book;
+    Lesson l;
+    l.destination = 7;
+    l.limit = 50;
+    l.usual = 30'000;
+    l.samples = 20;
+    l.heard = l.came = unixNow() - kS;
+    book.known.push_back({l, ""});
+    l.endpoint = "e1";
+    book.known.push_back({l, same ? "127.0.0.1:1" : "127.0.0.1:2"});
+    l.endpoint = "gone";
+    book.known.push_back({l, "127.0.0.1:1"});
+    l.endpoint = "";
+    l.destination = 8;
+    book.known.push_back({l, ""});
+    l.destination = 7;
+    l.heard = l.came = unixNow() - 48 * 3600 * kS;
+    book.known.push_back({l, ""});
+    book.pool = {20'000, 30, 0, 0, 0, unixNow()};
+    c.host.recover({}, book);
+    ASSERT_EQ(heard.size(), same ? 2u : 1u);
+    EXPECT_EQ(heard[0].endpoint, "");
+    EXPECT_NEAR(static_cast<double>(monotonicNow() - heard[0].heard), 1e6, 5e5);
+    EXPECT_EQ(pools, 1u);
+    if (same) EXPECT_EQ(heard[1].endpoint, "e1");
+  }
+}
+
+// Risk: what is learned is asked for and never told, or without the address that it holds for.
+TEST(Host, ASurveyTellsWhatWasLearnedWithItsAddressAndInUnixTime) {
+  Core c;
+  c.submit("a");
+  c.run();
+  Outcome o;
+  o.id = "a";
+  o.rtt = 30 * kMs;
+  o.finished = true;
+  c.host.outcome(std::move(o));
+  c.run();
+  std::vector<knowledge::Known> known;
+  int told = 0;
+  c.host.survey(INT64_MIN, 10, [&](std::vector<knowledge::Known> k, const Surveyed& end) {
+    known = std::move(k);
+    ++told;
+    EXPECT_TRUE(end.all);
+  });
+  c.run();
+  EXPECT_EQ(told, 1);
+  ASSERT_EQ(known.size(), 2u);
+  EXPECT_EQ(known[1].lesson.endpoint, "e1");
+  EXPECT_EQ(known[1].address, "127.0.0.1:1");
+  EXPECT_EQ(known[1].lesson.usual, 30 * kMs);
+  EXPECT_NEAR(static_cast<double>(known[0].lesson.heard), static_cast<double>(unixNow()), 5e6);
+  EXPECT_EQ(c.host.learned().known.size(), 2u);
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/decision/recall_test.cpp
+++ b/tests/decision/recall_test.cpp
@@ -1,4 +1,7 @@
 // What was learned is given out, and the next process acts on it as the one before would have.
+#include <algorithm>
+#include <deque>
+
 #include "rig.h"
 
 namespace grademux {
@@ -146,5 +149,70 @@
   EXPECT_LT(limit, 55);
 }
 
+// All senders are restarted at once while a destination is cold, each with a backlog: together they stay
+// below what would push it over. `told`: health and lessons reach the next processes.
+bool pushedOver(bool told) {
+  constexpr int kSenders = 3;
+  constexpr double kTakes = 40;  // calls a second when warm
+  Settings s = makeSettings();
+  s.senders = kSenders;
+  s.slots = 64;
+  s.max_open = 2000;
+  const Micros returned = 100 * kS;
+  std::vector<Rig> rigs;
+  for (int i = 0; i < kSenders; ++i) {
+    Rig& r = rigs.emplace_back(s, static_cast<std::uint64_t>(i + 1));
+    r.at(returned + 500 * kMs).list(twoOf(1));
+  }
+  std::deque<std::pair<Micros, std::pair<int, std::string>>> out;
+  std::deque<Micros> calls;
+  bool over = false;
+  for (Micros t = returned + 520 * kMs; t < returned + 12 * kS; t += 20 * kMs) {
+    for (int i = 0; i < kSenders; ++i) {
+      Rig& r = rigs[static_cast<std::size_t>(i)];
+      std::vector<Event> events;
+      if (t == returned + 520 * kMs) {
+        r.now = t;
+        if (told) {
+          Lesson l;
+          l.destination = 1;
+          l.limit = kTakes;
+          l.told = true;
+          l.part = 1.0 / kSenders;
+          l.traffic = kTakes / kSenders;
+          l.heard = l.came = returned;
+          events.emplace_back(l);
+          events.emplace_back(Ailment{"", 1, false, returned, 0, returned});
+        }
+        for (int k = 0; k < 200; ++k)
+          events.emplace_back(Resumed{r.arrival("r" + std::to_string(k), "safe", 1), {}});
+      }
+      while (!out.empty() && out.front().first <= t && out.front().second.first == i) {
+        Outcome o = r.outcome(out.front().second.second, 0, Result::ok, 20 * kMs);
+        o.report = LimitReport{0.5, kTakes};
+        events.emplace_back(o);
+        out.pop_front();
+      }
+      events.emplace_back(Wake{});
+      for (const std::string& id : r.at(t).run(events)) {
+        out.push_back({t + 20 * kMs, {i, id}});
+        calls.push_back(t);
+      }
+    }
+    std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+      return std::make_pair(a.first, a.second.first) < std::make_pair(b.first, b.second.first);
+    });
+    while (!calls.empty() && calls.front() <= t - s.fall_span) calls.pop_front();
+    const double warmth = std::min(1.0, static_cast<double>(t - s.fall_span / 2 - returned) / 1e7);
+    const double share = s.cold_share + (1 - s.cold_share) * std::max(0.0, warmth);
+    over = over || static_cast<double>(calls.size()) > s.overload_factor * kTakes * share * 2;
+  }
+  return over;
+}
+TEST(Recall, AllSendersRestartedAtOnceDoNotPushOverWhatIsCold) {
+  EXPECT_FALSE(pushedOver(true));
+  EXPECT_TRUE(pushedOver(false));  // what they would do as if nothing were known
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/knowledge/book_test.cpp
+++ b/tests/knowledge/book_test.cpp
@@ -2,10 +2,12 @@
 #include "../../src/knowledge/book.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 #include <xxhash.h>
 
+#include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -127,15 +129,17 @@
 // unknown.
 TEST(Book, FieldsThatLackOrThatNobodyKnows) {
   const std::string head = framed({{"what", "grademux knowledge"}, {"form", 1}, {"sender", "n3"}});
-  const Reading r =
-      decode(head + framed({{"d", 5}, {"usual", 9000}, {"n", 3}, {"colour", "red"}}) +
-                 framed({{"d", "five"}, {"limit", "much"}, {"usual", -4}, {"n", 3}, {"risk", 7}}),
-             "n3");
+  const Reading r = decode(
+      head + framed({{"d", 5}, {"usual", 9000}, {"n", 3}, {"colour", "red"}}) +
+          framed(
+              {{"d", "five"}, {"limit", "much"}, {"heard", INT64_MIN}, {"usual", -4}, {"n", 3}, {"risk", 7}}),
+      "n3");
   EXPECT_EQ(r.refused, "");
   ASSERT_EQ(r.book.known.size(), 2u);
   EXPECT_EQ(r.book.known[0].lesson.usual, 9000);
   EXPECT_EQ(r.book.known[0].lesson.limit, 0);
   EXPECT_EQ(r.book.known[1].lesson.samples, 0);
+  EXPECT_EQ(r.book.known[1].lesson.heard, 0);
   EXPECT_EQ(r.book.known[1].lesson.limit, 0);
   EXPECT_EQ(r.book.known[1].lesson.risk, 1);
   EXPECT_EQ(r.book.pool.typical_of, 0);
@@ -168,5 +172,24 @@
   EXPECT_FALSE(readBook(folder.path(), "n3").refused.empty());  // a folder
 }
 
+// A disk that is full in the middle of a write: the old file stands, and nothing is left beside it.
+TEST(Book, ADiskThatIsFullLeavesTheOldFile) {
+  loopback::TempFolder folder;
+  const std::string path = folder.path() + "/knowledge", bytes = bytesOf(book(2));
+  ASSERT_EQ(writeBook(path, bytes), "");
+  rlimit before{};
+  ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &before), 0);
+  const auto handler = std::signal(SIGXFSZ, SIG_IGN);
+  rlimit small = before;
+  small.rlim_cur = 100;
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &small), 0);
+  const std::string wrong = writeBook(path, bytesOf(book(9)));
+  ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &before), 0);
+  std::signal(SIGXFSZ, handler);
+  EXPECT_NE(wrong, "");
+  EXPECT_EQ(readBook(path, "n3").book.known.size(), 4u);
+  EXPECT_NE(::access((path + ".new").c_str(), F_OK), 0);
+}
+
 }  // namespace
 }  // namespace grademux::knowledge
