--- a/tests/core/host_test.cpp
+++ b/tests/core/host_test.cpp
@@ -185,9 +185,7 @@
     EXPECT_EQ(heard[0].endpoint, "");
     EXPECT_NEAR(static_cast<double>(monotonicNow() - heard[0].heard), 1e6, 5e5);
     EXPECT_EQ(pools, 1u);
-    if (same) {
-      EXPECT_EQ(heard[1].endpoint, "e1");
-    }
+    if (same) { EXPECT_EQ(heard[1].endpoint, "e1"); }
   }
 }
 
--- a/tests/core/journal_test.cpp
+++ b/tests/core/journal_test.cpp
@@ -409,9 +409,7 @@
       const auto size = std::filesystem::file_size(folder.path() + "/journal", e);
       EXPECT_LE(size, asked > 0 && gives_way ? 2'000'000u : 1'000'000u);
     }
-    if (gives_way) {
-      EXPECT_LT(j.spare(), 200'000u);
-    }
+    if (gives_way) { EXPECT_LT(j.spare(), 200'000u); }
     return n;
   };
   int stays = 0, goes = 0;
--- a/tests/decision/recall_test.cpp
+++ b/tests/decision/recall_test.cpp
@@ -48,9 +48,7 @@
     for (const Lesson& l : lessons) {
       EXPECT_EQ(l.usual, 20 * kMs);
       EXPECT_EQ(l.endpoint.empty(), l.told);
-      if (l.endpoint.empty()) {
-        EXPECT_EQ(l.limit, 60);
-      }
+      if (l.endpoint.empty()) { EXPECT_EQ(l.limit, 60); }
     }
   }
 }
