One piece each for file reads and writes, clock shifts, result names and a died sender

Each is one piece now. A planned end that meets a survey under way no longer writes its first destinations twice; a moment that is unknown is handed to the module as 0 and not as a moment before its clock.

--- a/rig/ledger.cpp
+++ b/rig/ledger.cpp
@@ -10,6 +10,10 @@
 
 namespace grademux::rig {
 
+namespace {
+constexpr Micros kUnheard = 100'000;  // an answer that was written has been read after this
+}  // namespace
+
 Ledger::Ledger(std::size_t capacity)
     : run_(static_cast<std::uint32_t>(::getpid())), capacity_(capacity), records_(new Record[capacity]) {}
 
@@ -66,6 +70,11 @@
   }
 }
 
+void Ledger::died(Micros at) {
+  for (std::size_t i = 0; i < size_; ++i)
+    if (records_[i].ended == 0 || records_[i].ended > at - kUnheard) records_[i].doubt = true;
+}
+
 std::size_t Ledger::unended() const {
   std::size_t n = 0;
   for (std::size_t i = 0; i < size_; ++i)
--- a/rig/ledger.h
+++ b/rig/ledger.h
@@ -50,6 +50,9 @@
   void answered(Record& r, Said said, Micros now);
   void delivered(Record& r, Micros now);
   void notice(const std::string& id, Micros now);
+  // The sender died: an outcome that it may not have heard is in doubt, and a notice beside such a delivery
+  // is what the rules ask for.
+  void died(Micros at);
   std::atomic<std::uint64_t> strangers{0};  // calls or notices for ids that nobody submitted
   std::atomic<std::uint64_t> drained{0};    // calls begun at a drained endpoint after the grace
   std::atomic<std::uint64_t> misrouted{0};  // calls at an endpoint of another destination
--- a/rig/membership.cpp
+++ b/rig/membership.cpp
@@ -23,7 +23,6 @@
 namespace asio = boost::asio;
 
 constexpr Micros kSecond = 1'000'000, kStep = 150'000;
-constexpr Micros kUnheard = 100'000;  // an answer that was written has been read after this
 constexpr Micros kNever = INT64_MAX / 4;
 // Which partners come from where; each has two endpoints.
 constexpr int kPartners = 8, kFirstOfFolder = 2, kService = 6, kAddresses = 7;
@@ -160,21 +159,16 @@
 
   // The program is killed; when it comes back, its folder can't be read and the name server is silent.
   void kill() {
-    w_.clients(By::resp).expectCuts(true);
-    w_.clients(By::http).expectCuts(true);
+    w_.expectCuts(true);
     const Micros killed = monotonicNow();
     w_.kill();
-    for (std::size_t i = 0; i < w_.ledger.size(); ++i) {
-      Record& r = w_.ledger.at(static_cast<std::int64_t>(i));
-      if (r.ended == 0 || r.ended > killed - kUnheard) r.doubt = true;
-    }
+    w_.ledger.died(killed);
     tellDns(DnsFault::silent);
     fs::rename(link(), link() + ".away");
     w_.run(200'000);
     w_.start();
     w_.run(50'000);
-    w_.clients(By::resp).expectCuts(false);
-    w_.clients(By::http).expectCuts(false);
+    w_.expectCuts(false);
     w_.load(kBlindRate, kSecond, kBoth);
     fs::rename(link() + ".away", link());
     tellDns(DnsFault::none);
--- a/rig/restart.cpp
+++ b/rig/restart.cpp
@@ -1,11 +1,8 @@
 // grademux rig: restarts in mid-outage, with what the sender knows and without it, side by side: the same
 // load, faults and moments in two worlds at once.
-#include <sys/wait.h>
-
 #include <algorithm>
 #include <fstream>
 #include <future>
-#include <thread>
 
 #include "../src/core/clock.h"
 #include "scenarios.h"
@@ -15,9 +12,8 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kUnheard = 100'000;  // an answer that was written has been read after this
-constexpr Micros kAway = 600'000;     // between the end of a process and the next one's start
-constexpr double kTakes = 60;         // calls a second that a warm destination takes
+constexpr Micros kAway = 600'000;  // between the end of a process and the next one's start
+constexpr double kTakes = 60;      // calls a second that a warm destination takes
 const std::vector<By> kBoth{By::resp, By::http};
 
 // One of the two worlds.
@@ -98,31 +94,20 @@
     if (left > 0) world_.load(rate, left, kBoth);
   }
 
-  void cuts(bool on) {
-    world_.clients(By::resp).expectCuts(on);
-    world_.clients(By::http).expectCuts(on);
-  }
-  // An outcome may die unheard with the process: a notice beside the delivery is then what the rules ask for.
-  void doubt(Micros ended) {
-    for (std::size_t i = 0; i < world_.ledger.size(); ++i) {
-      Record& r = world_.ledger.at(static_cast<std::int64_t>(i));
-      if (r.ended == 0 || r.ended > ended - kUnheard) r.doubt = true;
-    }
-  }
   void kill(double rate) {
-    cuts(true);
+    world_.expectCuts(true);
     const Micros killed = monotonicNow();
     world_.kill();
-    doubt(killed);
+    world_.ledger.died(killed);
     again(rate);
   }
   void stop(double rate) {
-    cuts(true);
+    world_.expectCuts(true);
     world_.child().signal(SIGTERM);
     const Micros patience = monotonicNow() + 10 * kSecond;
     while (!world_.child().ended() && monotonicNow() < patience) world_.load(rate, kSecond / 50, kBoth);
     if (!world_.child().ended()) throw std::runtime_error("the program does not end");
-    doubt(monotonicNow());
+    world_.ledger.died(monotonicNow());
     again(rate);
   }
   void again(double rate) {
@@ -131,7 +116,7 @@
     world_.start();
     started_.push_back(monotonicNow());
     world_.run(50'000);  // the last cuts come in
-    cuts(false);
+    world_.expectCuts(false);
   }
   // Some bytes in the middle and the tail.
   void spoil() {
--- a/rig/scenarios.cpp
+++ b/rig/scenarios.cpp
@@ -14,8 +14,6 @@
 constexpr Micros kSecond = 1'000'000;
 constexpr Micros kSettle = 30 * kSecond;  // a message lasts 20 s at most, and its notice has its time
 
-constexpr Micros kUnheard = 100'000;  // an answer that was written has been read after this
-
 const std::vector<By> kBoth{By::resp, By::http};
 
 }  // namespace
@@ -76,14 +74,6 @@
   return finished(w, [&] { return json{{"rate", rate}, {"drains", drains}, {"answers", doors(w)}}; });
 }
 
-// An outcome may die unheard with the process: a notice beside the delivery is then what the rules ask for.
-void doubt(World& w, Micros killed) {
-  for (std::size_t i = 0; i < w.ledger.size(); ++i) {
-    Record& r = w.ledger.at(static_cast<std::int64_t>(i));
-    if (r.ended == 0 || r.ended > killed - kUnheard) r.doubt = true;
-  }
-}
-
 // SIGKILL at random moments under load on both doors; the folder lasts, every other time with a journal whose
 // last write was cut short; what was taken on has its one end.
 json kill(const Options& o) {
@@ -99,18 +89,16 @@
   int kills = 0;
   while (monotonicNow() < until) {
     w.load(rate, static_cast<Micros>(300'000 + w.random() % 1'500'000), kBoth);
-    w.clients(By::resp).expectCuts(true);
-    w.clients(By::http).expectCuts(true);
+    w.expectCuts(true);
     const Micros killed = monotonicNow();
     w.kill();
-    doubt(w, killed);
+    w.ledger.died(killed);
     ++kills;
     if (kills % 2 == 0) tearTail(w.journal(), 1 + w.random() % 40);  // less than a whole record
     w.run(300'000);
     w.start();
     w.run(50'000);  // the last cuts come in
-    w.clients(By::resp).expectCuts(false);
-    w.clients(By::http).expectCuts(false);
+    w.expectCuts(false);
   }
   return finished(w, [&] { return json{{"rate", rate}, {"kills", kills}}; });
 }
--- a/rig/world.h
+++ b/rig/world.h
@@ -59,6 +59,11 @@
   // One message of a random class to a random destination; false when the ledger is full.
   bool submit(By by);
   Clients& clients(By by) { return by == By::resp ? *resp_ : *http_; }
+  // At both doors: connections that end are the process's death, and no answer is owed.
+  void expectCuts(bool on) {
+    resp_->expectCuts(on);
+    http_->expectCuts(on);
+  }
   // Open loop: so many a second at random moments, the doors in turn, for so long.
   void load(double rate, Micros span, const std::vector<By>& doors);
   // Closed loop: as many as are ended, with so many on their way.
--- a/src/carriers/http/http_carrier.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -84,13 +84,10 @@
 
 namespace {
 void tellEnd(const std::pair<std::string, int>& call, const std::string& endpoint, Result r) {
-  static const char* const kNames[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
-                                       "reset", "cancelled", "not_sent"};
   if (log::on(log::Event::attempt_ended))
-    log::write(log::Event::attempt_ended, {{"message", call.first},
-                                           {"endpoint", endpoint},
-                                           {"attempt", call.second},
-                                           {"outcome", kNames[static_cast<std::size_t>(r)]}});
+    log::write(
+        log::Event::attempt_ended,
+        {{"message", call.first}, {"endpoint", endpoint}, {"attempt", call.second}, {"outcome", nameOf(r)}});
 }
 }  // namespace
 
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -18,6 +18,24 @@
 constexpr Micros kAilmentAge = 30 * 24LL * 3600 * 1000000;  // health not heard of for so long is dropped
 constexpr Micros kWakeGrain = 1000;                         // wakes this close are one
 
+// Moments of one clock as the other has them; what is unknown stays so.
+void shift(Micros& moment, Micros by) {
+  if (moment > 0) moment += by;
+}
+void shift(Ailment& a, Micros by) {
+  a.cold_since += by;
+  a.noted += by;
+  shift(a.wait_until, by);
+}
+void shift(Lesson& l, Micros by) {
+  shift(l.heard, by);
+  shift(l.came, by);
+}
+void shift(Experience& p, Micros by) {
+  shift(p.heard, by);
+  shift(p.dead_at, by);
+}
+
 }  // namespace
 
 Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
@@ -49,13 +67,11 @@
     tellList(SIZE_MAX, ListKind::cached);
   }
   journal_.forgetAilments(unixNow() - kAilmentAge);
-  const Micros shift = monotonicNow() - unixNow();
-  recall(learned, shift);
+  const Micros ahead = monotonicNow() - unixNow();
+  recall(learned, ahead);
   for (Ailment a : r.ailments) {
     if (!knowledge::aged(a, unixNow(), settings_.ramp_time)) continue;
-    a.cold_since += shift;
-    a.noted += shift;
-    if (a.wait_until > 0) a.wait_until += shift;
+    shift(a, ahead);
     events_.push_back(a);
   }
   for (const Journal::Entry& e : r.entries) {
@@ -74,10 +90,10 @@
     m.message.message_class = e.message.message_class;
     m.message.order_key = e.message.order_key;
     m.message.destination = e.message.destination;
-    m.message.give_up_at = e.message.give_up_at + shift;
+    m.message.give_up_at = e.message.give_up_at + ahead;
     m.message.repeat = true;
     for (const JournaledAttempt& a : e.attempts)
-      m.attempts.push_back({a.endpoint, a.sent + shift, !a.never_ran});
+      m.attempts.push_back({a.endpoint, a.sent + ahead, !a.never_ran});
     events_.push_back(std::move(m));
   }
   if (!r.entries.empty()) log::write(log::Event::journal_resumed, {{"messages", r.entries.size()}});
@@ -86,10 +102,10 @@
 }
 
 // What is known of an endpoint holds for the machine that it was learned of.
-void Host::recall(const knowledge::Book& learned, Micros shift) {
+void Host::recall(const knowledge::Book& learned, Micros ahead) {
   const Micros now = unixNow();
   Experience pool = knowledge::aged(learned.pool, now);
-  if (pool.dead_at > 0) pool.dead_at += shift;
+  shift(pool, ahead);
   if (pool.typical_of > 0 || pool.dead_score > 0) events_.push_back(pool);
   for (const knowledge::Known& k : learned.known) {
     const ListedEndpoint* listed = k.lesson.endpoint.empty() ? nullptr : list_.find(k.lesson.endpoint);
@@ -97,17 +113,14 @@
     if (!list_.lists(k.lesson.destination)) continue;
     Lesson l = knowledge::aged(k.lesson, now);
     if (l.limit <= 0 && l.samples == 0 && l.risk <= 0 && l.traffic <= 0) continue;
-    l.heard += shift;
-    l.came += shift;
+    shift(l, ahead);
     events_.push_back(std::move(l));
   }
 }
 
 knowledge::Known Host::shown(const Lesson& lesson) const {
-  const Micros shift = unixNow() - monotonicNow();
   knowledge::Known k{lesson, ""};
-  if (k.lesson.heard > 0) k.lesson.heard += shift;
-  if (k.lesson.came > 0) k.lesson.came += shift;
+  shift(k.lesson, unixNow() - monotonicNow());
   const ListedEndpoint* listed = lesson.endpoint.empty() ? nullptr : list_.find(lesson.endpoint);
   if (listed) k.address = listed->address;
   return k;
@@ -124,6 +137,10 @@
     book.known = std::move(known);
     book.pool = end.pool;
   };
+  // One that was asked for and waits for its turn would tell the same once more.
+  events_.erase(std::remove_if(events_.begin(), events_.end(),
+                               [](const Event& e) { return std::holds_alternative<Survey>(e); }),
+                events_.end());
   events_.push_back(Survey{INT64_MIN, INT32_MAX});
   turn();
   return book;
@@ -298,11 +315,8 @@
     if (const auto* r = std::get_if<Refuse>(&a)) end(r->id, true, r->pause);
     if (const auto* f = std::get_if<Fail>(&a)) end(f->id, false, 0);
     if (const auto* h = std::get_if<Ailment>(&a)) {
-      const Micros shift = unixNow() - last_turn_;
       Ailment kept = *h;
-      kept.cold_since += shift;
-      kept.noted += shift;
-      if (kept.wait_until > 0) kept.wait_until += shift;
+      shift(kept, unixNow() - last_turn_);
       journal_.ailing(kept);
       if (on_ailment_) on_ailment_();
     }
@@ -369,9 +383,7 @@
   for (const Action& a : actions)
     if (const auto* l = std::get_if<Lesson>(&a)) known.push_back(shown(*l));
   Surveyed s = std::get<Surveyed>(*end);
-  const Micros shift = unixNow() - monotonicNow();
-  s.pool.heard += shift;
-  if (s.pool.dead_at > 0) s.pool.dead_at += shift;
+  shift(s.pool, unixNow() - monotonicNow());
   const Learned then = std::move(surveyed_);
   surveyed_ = nullptr;
   then(std::move(known), s);
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -65,7 +65,7 @@
   void end(const std::string& id, bool handed_back, Micros pause);
   void wake();
   void tellSurvey(const std::vector<Action>& actions);
-  void recall(const knowledge::Book& learned, Micros shift);
+  void recall(const knowledge::Book& learned, Micros ahead);
   knowledge::Known shown(const Lesson& lesson) const;
   void tellList(std::size_t most, ListKind kind);
   bool knowsDestination(std::int64_t destination) const;
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <stdexcept>
 
+#include "file.h"
 #include "json_fields.h"
 
 namespace grademux {
@@ -19,7 +20,6 @@
 constexpr char kMark[] = "\xA7GJ1";  // lets the reader find the next record after a damaged one
 constexpr std::size_t kMarkSize = 4, kHeader = kMarkSize + 8;
 constexpr std::uint32_t kLargest = 4u << 20;
-constexpr std::uint64_t kBlock = 512;
 // Bytes kept free for each message taken on: its attempts, their ends and its notice.
 constexpr std::uint64_t kSeeThrough = 1536;
 // Compaction is worth its writes once this much, and more than half of the file, is of messages long over.
@@ -189,8 +189,6 @@
       .out();
 }
 
-std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
-
 std::uint64_t sizeOf(const TakenOn& m) {
   return kHeader + 1 + 8 * 8 + m.id.size() + m.message_class.size() + m.order_key.size() +
          m.idempotency_key.size() + m.body.size();
@@ -200,18 +198,6 @@
   throw std::runtime_error(what + ": " + std::strerror(errno));
 }
 
-std::string readAll(int fd) {
-  std::string data;
-  char piece[65536];
-  for (;;) {
-    const ssize_t n = ::read(fd, piece, sizeof piece);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) fault("journal: read");
-    if (n == 0) return data;
-    data.append(piece, static_cast<std::size_t>(n));
-  }
-}
-
 }  // namespace
 
 Journal::Journal(const std::string& folder, std::uint64_t disk_bytes)
@@ -219,7 +205,9 @@
   ::unlink(fresh_path_.c_str());  // a compaction that was cut short: the old file still holds all
   fd_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_CLOEXEC | O_APPEND, 0644);
   if (fd_ < 0) fault("journal: " + path_);
-  replay(readAll(fd_));
+  std::string data;
+  if (!readAll(fd_, data)) fault("journal: read");
+  replay(data);
   for (const auto& [id, e] : entries_) recovered_.entries.push_back(e);
   std::sort(recovered_.entries.begin(), recovered_.entries.end(),
             [](const Entry& a, const Entry& b) { return a.order < b.order; });
@@ -485,16 +473,6 @@
              : std::next(it);
 }
 
-bool Journal::writeAll(int fd, const std::string& data) {
-  for (std::size_t done = 0; done < data.size();) {
-    const ssize_t n = ::write(fd, data.data() + done, data.size() - done);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) return false;
-    done += static_cast<std::size_t>(n);
-  }
-  return true;
-}
-
 // Old and new file are there together for a moment, so compaction comes while both still fit the budget.
 bool Journal::flush() {
   reserved_ = 0;
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -112,7 +112,6 @@
   void doubt();
   std::uint64_t liveBytes() const;
   bool compact();
-  bool writeAll(int fd, const std::string& data);
 
   std::string path_, fresh_path_;
   std::uint64_t beside_ = 0;
--- a/src/core/message.cpp
+++ b/src/core/message.cpp
@@ -48,6 +48,12 @@
   return s.size() <= kLongestToken;
 }
 
+const char* nameOf(Result r) {
+  static constexpr const char* kNames[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
+                                           "reset", "cancelled", "not_sent"};
+  return kNames[static_cast<std::size_t>(r)];
+}
+
 const char* nameOf(Ending e) {
   switch (e) {
     case Ending::delivered:
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -47,6 +47,7 @@
   withdrawn     // the endpoint said that it was over already
 };
 const char* nameOf(Ending e);
+const char* nameOf(Result r);
 
 struct End {
   Ending how = Ending::delivered;
--- a/src/knowledge/book.cpp
+++ b/src/knowledge/book.cpp
@@ -12,6 +12,8 @@
 #include <cstring>
 #include <nlohmann/json.hpp>
 
+#include "../core/file.h"
+
 namespace grademux::knowledge {
 
 namespace {
@@ -181,14 +183,7 @@
     return r;
   }
   std::string bytes;
-  char piece[65536];
-  for (;;) {
-    const ssize_t n = ::read(fd, piece, sizeof piece);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) r.refused = std::strerror(errno);
-    if (n <= 0 || bytes.size() > kMostFile) break;
-    bytes.append(piece, static_cast<std::size_t>(n));
-  }
+  if (!readAll(fd, bytes, kMostFile)) r.refused = std::strerror(errno);
   ::close(fd);
   r.there = true;
   return r.refused.empty() ? decode(bytes, sender) : r;
@@ -204,12 +199,7 @@
   };
   const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   if (fd < 0) return failed(fd);
-  for (std::size_t done = 0; done < bytes.size();) {
-    const ssize_t n = ::write(fd, bytes.data() + done, bytes.size() - done);
-    if (n < 0 && errno == EINTR) continue;
-    if (n < 0) return failed(fd);
-    done += static_cast<std::size_t>(n);
-  }
+  if (!writeAll(fd, bytes)) return failed(fd);
   if (::close(fd) != 0 || std::rename(fresh.c_str(), path.c_str()) != 0) return failed(-1);
   return "";
 }
--- a/src/knowledge/keeper.cpp
+++ b/src/knowledge/keeper.cpp
@@ -7,15 +7,11 @@
 #include <memory>
 
 #include "../core/clock.h"
+#include "../core/file.h"
 #include "../log/log.h"
 
 namespace grademux::knowledge {
 
-namespace {
-constexpr std::uint64_t kBlock = 512;  // files count in whole blocks
-std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
-}  // namespace
-
 Keeper::Keeper(boost::asio::io_context& io, Worker& worker, KeeperSpec spec, const std::string& folder,
                std::string sender, Survey survey, Room room, Beside beside)
     : worker_(worker),
@@ -89,7 +85,7 @@
 // Old and new file are there together for a moment.
 std::uint64_t Keeper::mostBytes() const {
   const std::uint64_t room = room_() + blocks(bytes_);  // the old one is counted among what takes room
-  return std::min(spec_.most_bytes, room / 2 / kBlock * kBlock);
+  return std::min(spec_.most_bytes, room / 2 / kFileBlock * kFileBlock);
 }
 
 Keeper::Written Keeper::put(const std::string& path, const Book& book, std::uint64_t most_bytes) {
--- a/src/replay/losses.cpp
+++ b/src/replay/losses.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "../core/message.h"
 #include "stream_codec.h"
 
 namespace grademux::replay {
@@ -20,8 +21,6 @@
 constexpr const char* kPartNames[kParts] = {"before it came",        "held before its first call",
                                             "held for another call", "in calls that failed",
                                             "the process was away",  "in the call that delivered"};
-constexpr const char* kResults[] = {"ok",    "error",     "full",    "timeout", "connect_failed",
-                                    "reset", "cancelled", "not_sent"};
 constexpr std::size_t kMostShown = 10;  // destinations
 
 struct Call {
@@ -166,7 +165,7 @@
     const bool over = e.finished || e.result == Result::ok;
     spend(*a, over ? Part::answer : Part::failed, now_);
     if (!over) {
-      ++l_.results[kResults[static_cast<std::size_t>(e.result)]];
+      ++l_.results[nameOf(e.result)];
       return;
     }
     close(*a, "", lostAt(*a, now_));
--- a/tests/daemon/knowledge_test.cpp
+++ b/tests/daemon/knowledge_test.cpp
@@ -1,7 +1,7 @@
 // The whole program with what it learned: over kills, with a file that was spoilt, without room.
-#include "../../rig/child.h"
 #include "../../src/core/clock.h"
 #include "../../src/knowledge/keeper.h"
+#include "../support/command.h"
 #include "../support/loopback.h"
 
 namespace grademux {
@@ -51,15 +51,6 @@
 
 Act deliver(const Seen&) { return {answer("200 OK", "X-Pressure: x0=0.9,x1=42\r\n")}; }
 
-std::string outputOf(const std::vector<std::string>& command, const std::string& log, int& status) {
-  rig::Child c;
-  fs::remove(log);
-  c.start(command, {}, log);
-  status = WEXITSTATUS(c.wait());
-  std::ifstream f(log);
-  return {std::istreambuf_iterator<char>(f), {}};
-}
-
 TEST(Knowledge, OutlastsAKillAndCanBeShownAndForgotten) {
   Fleet f(deliver);
   f.teach();
--- a/tests/daemon/standing_alone_test.cpp
+++ b/tests/daemon/standing_alone_test.cpp
@@ -3,8 +3,8 @@
 
 #include <cstring>
 
-#include "../../rig/child.h"
 #include "../../src/daemon/daemon_file.h"
+#include "../support/command.h"
 #include "../support/loopback.h"
 
 namespace grademux {
@@ -225,16 +225,6 @@
   EXPECT_EQ(f.wait(), 0);
 }
 
-// The words of a command's output.
-std::string outputOf(const std::vector<std::string>& command, const std::string& log, int& status) {
-  rig::Child c;
-  std::filesystem::remove(log);
-  c.start(command, {}, log);
-  status = WEXITSTATUS(c.wait());
-  std::ifstream f(log);
-  return {std::istreambuf_iterator<char>(f), {}};
-}
-
 TEST(Check, TellsWhatIsInForceAndWhereItComesFrom) {
   Alone a;
   std::ofstream(a.path()) << "[limits]\ncalls = 7\n" << kDoor << kClass << kPartner;
