--- a/model/experiment.cpp
+++ b/model/experiment.cpp
@@ -23,8 +23,34 @@
 constexpr int kResamples = 2000;
 constexpr double kGap = 0.01;  // of worth: a smaller gap is not worth dividing
 
-std::string key(const std::string& world, const std::string& variant, std::uint64_t seed) {
-  return world + " " + variant + " " + std::to_string(seed);
+std::string key(const std::string& world, const std::string& variant, std::uint64_t seed,
+                const std::string& stamp) {
+  return world + " " + variant + " " + std::to_string(seed) + " " + stamp;
+}
+
+std::string contents(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// Of all that a run's figures hang on beside its seed: the world's text and its base's, the variant, and this
+// program. A run with another stamp is not this one.
+std::string stampOf(const std::string& world_path, const Variant& v) {
+  static const std::uint64_t program = [] {
+    const std::string bytes = contents("/proc/self/exe");
+    return XXH3_64bits(bytes.data(), bytes.size());
+  }();
+  std::string all = contents(world_path) + '\n' + v.policy;
+  try {
+    const toml::table file = toml::parse(all.substr(0, all.rfind('\n')));
+    if (const auto base = file["base"].value<std::string>())
+      all += contents((fs::path(world_path).parent_path() / *base).string());
+  } catch (const toml::parse_error&) {}  // told by who reads it
+  for (const auto& [name, value] : v.set) all += '\n' + name + '=' + value;
+  for (const auto& [name, value] : v.tune) all += '\n' + name + '=' + std::to_string(value);
+  std::ostringstream hex;
+  hex << std::hex << XXH3_64bits_withSeed(all.data(), all.size(), program);
+  return hex.str();
 }
 
 void readVariant(const toml::table& table, Experiment& e, std::vector<Mistake>& mistakes) {
@@ -54,12 +80,38 @@
       }
     }
   }
+  if (const toml::node* tune = t.node("tune")) {
+    if (!tune->is_table()) {
+      t.expected("tune", "a table is expected, as { kBurst = 1.0 }");
+    } else {
+      Table values(*tune->as_table(), "variant.tune", mistakes);
+      for (const TunedValue& own : tunedValues())
+        if (values.node(own.name.c_str())) v.tune[own.name] = values.real(own.name.c_str(), 0, -1e9, 1e9);
+      values.unknown(" in variant.tune");
+    }
+    if (t.node("policy") && v.policy != "tuned")
+      t.expected("tune", "the policy \"tuned\" alone has such values");
+    v.policy = "tuned";
+  }
   t.unknown(" in a variant");
   for (const Variant& other : e.variants)
     if (other.name == v.name) t.expected("name", "a name of its own is expected");
   e.variants.push_back(std::move(v));
 }
 
+// Of `ablate`: each tuned value is tried times each of these.
+std::vector<double> factors(Table& t) {
+  std::vector<double> all;
+  const toml::node* n = t.node("ablate");
+  if (!n) return all;
+  const toml::array* list = n->as_array();
+  for (std::size_t i = 0; list && i < list->size(); ++i)
+    if (const auto f = (*list)[i].value<double>(); f && *f >= 0 && *f <= 1000) all.push_back(*f);
+  if (!list || all.size() != list->size())
+    t.expected("ablate", "a list of factors from 0 to 1000 is expected, as [0, 0.5, 2]");
+  return all;
+}
+
 }  // namespace
 
 ExperimentReading readExperiment(const std::string& path) {
@@ -80,6 +132,18 @@
     e.first_seed = static_cast<std::uint64_t>(t.whole("first_seed", 1, 0, INT64_MAX / 2));
     for (const toml::table* v : t.tables("variant")) readVariant(*v, e, r.mistakes);
     if (e.variants.empty()) t.mistake("a [[variant]] is expected");
+    for (const double f : factors(t)) {
+      e.ablation = true;
+      for (const TunedValue& own : tunedValues()) {
+        Variant v;
+        std::ostringstream name;
+        name << own.name << " x " << f;
+        v.name = name.str();
+        v.policy = "tuned";
+        v.tune[own.name] = own.value * f;
+        e.variants.push_back(std::move(v));
+      }
+    }
     e.baseline = t.text("baseline", e.variants.empty() ? "module" : e.variants.front().name);
     if (std::none_of(e.variants.begin(), e.variants.end(),
                      [&](const Variant& v) { return v.name == e.baseline; }))
@@ -121,6 +185,8 @@
     const World* of;
     const PolicySpec* policy;
     std::uint64_t seed;
+    std::shared_ptr<const Tuning> tuning;
+    std::string key;
   };
   fs::create_directories(folder);
   const std::string kept = folder + "/runs.jsonl";
@@ -140,11 +206,14 @@
       Reading r = varied(path, v);
       if (!r.mistakes.empty()) throw std::runtime_error(r.mistakes.front().in(path));
       worlds.push_back(std::move(r.world));
+      const std::string stamp = stampOf(path, v);
+      const auto tuning = v.tune.empty() ? nullptr : std::make_shared<const Tuning>(v.tune);
       for (int i = 0; i < e.seeds; ++i) {
         const std::uint64_t seed = e.first_seed + static_cast<std::uint64_t>(i);
-        keys.push_back(key(worlds.back().name, v.name, seed));
+        keys.push_back(key(worlds.back().name, v.name, seed, stamp));
         if (!have.count(keys.back()))
-          runs.push_back({worlds.back().name, v.name, &worlds.back(), policy(v.policy), seed});
+          runs.push_back(
+              {worlds.back().name, v.name, &worlds.back(), policy(v.policy), seed, tuning, keys.back()});
       }
     }
   std::ofstream out(kept, std::ios::app);
@@ -156,18 +225,16 @@
     for (std::size_t i = next++; i < runs.size(); i = next++) {
       const Run& r = runs[i];
       try {
-        json figures = Fleet(*r.of, {r.policy, r.seed}).play();
+        json figures = Fleet(*r.of, {r.policy, r.seed, r.tuning}).play();
         figures["variant"] = r.variant;
-        figures["key"] = key(r.world, r.variant, r.seed);
+        figures["key"] = r.key;
         const std::lock_guard<std::mutex> lock(mutex);
         out << figures.dump() << '\n' << std::flush;
-        have[key(r.world, r.variant, r.seed)] = std::move(figures);
+        have[r.key] = std::move(figures);
         if (tell) tell(++done, runs.size());
       } catch (const std::exception& x) {
         const std::lock_guard<std::mutex> lock(mutex);
-        if (!failed)
-          failed =
-              std::make_exception_ptr(std::runtime_error(key(r.world, r.variant, r.seed) + ": " + x.what()));
+        if (!failed) failed = std::make_exception_ptr(std::runtime_error(r.key + ": " + x.what()));
         next = runs.size();
       }
     }
@@ -178,6 +245,12 @@
   if (failed) std::rethrow_exception(failed);
   std::vector<json> all;
   for (const std::string& k : keys) all.push_back(have.at(k));
+  out.close();  // what is not of this experiment as it now is goes
+  {
+    std::ofstream now(kept + ".new");
+    for (const json& r : all) now << r.dump() << '\n';
+  }
+  fs::rename(kept + ".new", kept);
   return all;
 }
 
@@ -234,7 +307,7 @@
                                                          static_cast<double>(all.size());
       }
       const double m = median(w);
-      if (v.policy == "module") broken += broken_here;
+      if (v.name == e.baseline) broken += broken_here;
       json row = {{"policy", v.policy},
                   {"worth", m},
                   {"least", *std::min_element(w.begin(), w.end())},
--- a/model/experiment.h
+++ b/model/experiment.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "tuned.h"
 #include "world.h"
 
 namespace grademux::model {
@@ -14,6 +15,7 @@
   std::string name, policy = "module";
   // Settings of the world that differ: "fleet.senders" -> a TOML value as text.
   std::vector<std::pair<std::string, std::string>> set;
+  Tuning tune;  // tuned values of the module that differ
 };
 struct Experiment {
   std::string name, path;
@@ -21,7 +23,8 @@
   std::uint64_t first_seed = 1;
   int seeds = 20;
   std::vector<Variant> variants;
-  std::string baseline;  // the variant that the others are compared with
+  std::string baseline;   // the variant that the others are compared with
+  bool ablation = false;  // with variants of each tuned value, times each of `factors`
 };
 struct ExperimentReading {
   Experiment experiment;
--- a/model/fleet.h
+++ b/model/fleet.h
@@ -140,6 +140,7 @@
 struct Choice {
   const PolicySpec* policy = nullptr;
   std::uint64_t seed = 1;
+  std::shared_ptr<const Tuning> tuning;
 };
 
 class Fleet : public Truth {
--- a/model/main.cpp
+++ b/model/main.cpp
@@ -34,7 +34,7 @@
     return 2;
   }
   const auto begun = std::chrono::steady_clock::now();
-  json f = Fleet(r.world, {p, seed}).play();
+  json f = Fleet(r.world, {p, seed, nullptr}).play();
   const double took = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
   f["wall_s"] = took;
   rusage used{};
--- a/model/node.cpp
+++ b/model/node.cpp
@@ -24,7 +24,7 @@
   fleet_.checker.senderBack(index_, now);
   last_turn_ = INT64_MIN / 4;
   for (const auto& [partner, c] : clocks_) partnerChanged(partner);
-  policy_ = fleet_.choice.policy->make(fleet_.settings, random_.bits(), fleet_);
+  policy_ = fleet_.choice.policy->make({fleet_.settings, random_.bits(), fleet_, fleet_.choice.tuning});
   ListUpdate cached;
   cached.kind = ListKind::cached;
   for (const auto& [name, e] : list_) cached.endpoints.push_back(e);
--- a/model/policies.cpp
+++ b/model/policies.cpp
@@ -16,7 +16,7 @@
 
 class Module : public Policy {
  public:
-  Module(const Settings& s, std::uint64_t seed) : sender_(s, seed) {}
+  explicit Module(const Making& m) : sender_(m.settings, m.seed) {}
   std::vector<Action> decide(Micros now, const std::vector<Event>& events) override {
     return sender_.decide(now, events);
   }
@@ -25,6 +25,19 @@
   Sender sender_;
 };
 
+// The same with other values.
+class Tuned : public Policy {
+ public:
+  explicit Tuned(const Making& m)
+      : module_(m.settings, m.seed, m.tuning ? m.tuning : std::make_shared<const Tuning>()) {}
+  std::vector<Action> decide(Micros now, const std::vector<Event>& events) override {
+    return module_.decide(now, events);
+  }
+
+ private:
+  TunedModule module_;
+};
+
 struct Style {
   int attempts = 1;      // of a message at most
   bool bucket = false;   // each destination's listed rate, an even part for each sender
@@ -252,18 +265,20 @@
 };
 
 template <int Attempts, bool Bucket, bool Breaker, bool Sees>
-std::unique_ptr<Policy> common(const Settings& s, std::uint64_t seed, Truth& truth) {
-  return std::make_unique<Common>(s, seed, truth, Style{Attempts, Bucket, Breaker, Sees});
+std::unique_ptr<Policy> common(const Making& m) {
+  return std::make_unique<Common>(m.settings, m.seed, m.truth, Style{Attempts, Bucket, Breaker, Sees});
+}
+template <class P>
+std::unique_ptr<Policy> made(const Making& m) {
+  return std::make_unique<P>(m);
 }
 
 }  // namespace
 
 const std::vector<PolicySpec>& policies() {
   static const std::vector<PolicySpec> kAll{
-      {"module", "the project's decision module",
-       [](const Settings& s, std::uint64_t seed, Truth&) -> std::unique_ptr<Policy> {
-         return std::make_unique<Module>(s, seed);
-       }},
+      {"module", "the project's decision module", made<Module>},
+      {"tuned", "the module with the tuned values that a variant names", made<Tuned>},
       {"one_try", "one call for each message, in the order of arrival", common<1, false, false, false>},
       {"retries", "the endpoint with the least calls out, further tries with back-off",
        common<12, false, false, false>},
--- a/model/policies.h
+++ b/model/policies.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "grademux/sender.h"
+#include "tuned.h"
 
 namespace grademux::model {
 
@@ -28,10 +29,16 @@
   virtual void taking(std::int64_t partner, Micros now) = 0;
 };
 
+// What a policy is made with. `truth` outlives it.
+struct Making {
+  const Settings& settings;
+  std::uint64_t seed;
+  Truth& truth;
+  std::shared_ptr<const Tuning> tuning;  // of the policy "tuned"; null: the module's own values
+};
 struct PolicySpec {
   std::string name, says;
-  // `truth` outlives the policy.
-  std::unique_ptr<Policy> (*make)(const Settings& settings, std::uint64_t seed, Truth& truth);
+  std::unique_ptr<Policy> (*make)(const Making& m);
 };
 const std::vector<PolicySpec>& policies();
 const PolicySpec* policy(const std::string& name);  // null: there is none
--- a/model/report.cpp
+++ b/model/report.cpp
@@ -166,6 +166,29 @@
   out << "</table>\n";
 }
 
+// Each tuned value by each world: what changing it does, where a difference is seen.
+void matrix(std::ostream& out, const json& summary, const Experiment& e) {
+  out << "<h2>What each tuned value is worth</h2>\n<p>Median difference of worth from " << escaped(e.baseline)
+      << " where one is seen; a dot where none is; R: it broke rules.</p>\n<table><tr><th>value";
+  for (const auto& [world, w] : summary["worlds"].items()) out << "<th>" << escaped(world);
+  out << "</tr>\n";
+  for (const Variant& v : e.variants) {
+    if (v.tune.empty()) continue;
+    out << "<tr><td>" << escaped(v.name);
+    for (const auto& [world, w] : summary["worlds"].items()) {
+      const json& r = w["variants"][v.name];
+      out << "<td>";
+      if (r["difference"]["seen"] == true)
+        out << std::showpos << fixed(r["difference"]["median"]) << std::noshowpos;
+      else out << "&middot;";
+      if (r["broken"].get<std::uint64_t>() > w["variants"][e.baseline]["broken"].get<std::uint64_t>())
+        out << " R";
+    }
+    out << "</tr>\n";
+  }
+  out << "</table>\n";
+}
+
 }  // namespace
 
 std::string report(const Experiment& e, const std::vector<json>& runs, const json& summary,
@@ -202,9 +225,11 @@
       << e.first_seed + static_cast<std::uint64_t>(e.seeds) - 1
       << ". Worth is the share of what was offered; a difference is the median of pairs of the same world "
          "and seed.</p>\n";
+  if (e.ablation) matrix(out, summary, e);
   bool plots = true;
   for (const auto& [world, variants] : by) {
     out << "<h2>" << escaped(world) << "</h2>\n";
+    if (e.ablation) continue;
     table(out, summary["worlds"][world]["variants"], e);
     if (summary["worlds"][world].contains("gap_closed"))
       out << "<p>Of the gap between the best baseline that keeps the rules and the oracle the module closes "
@@ -225,6 +250,8 @@
   for (const auto& [world, w] : summary["worlds"].items()) {
     out << world << '\n';
     for (const auto& [name, r] : w["variants"].items()) {
+      // Of many variants those that differ.
+      if (w["variants"].size() > 12 && r.contains("difference") && r["difference"]["seen"] != true) continue;
       out << "  " << std::left << std::setw(14) << name << fixed(r["worth"]) << "  worst "
           << fixed(r["least"]);
       if (r.contains("difference")) {
--- a/tests/model/checker_test.cpp
+++ b/tests/model/checker_test.cpp
@@ -29,7 +29,7 @@
 
 struct Case {
   Rule rule;
-  std::unique_ptr<Policy> (*make)(const Settings&, std::uint64_t, Truth&);
+  std::unique_ptr<Policy> (*make)(const Making&);
 };
 
 TEST(Checker, TheSoundModuleBreaksNoRule) {
--- a/tests/model/fleet_test.cpp
+++ b/tests/model/fleet_test.cpp
@@ -1,4 +1,6 @@
 // Runs: the same figures each time, worth that is accounted for, bounds.
+#include <fstream>
+
 #include "spoilt.h"
 
 namespace grademux::model {
@@ -23,7 +25,7 @@
 
 TEST(Fleet, WhatIsLostIsTheSumOfItsCauses) {
   for (const PolicySpec& p : policies()) {
-    Fleet fleet(worldOf(kTroubled), {&p, 5});
+    Fleet fleet(worldOf(kTroubled), {&p, 5, nullptr});
     const json f = fleet.play();
     EXPECT_NEAR(fleet.ledger.lostInAll(), fleet.ledger.offered - fleet.ledger.delivered, 1e-6) << p.name;
     EXPECT_EQ(f["messages"].get<std::uint64_t>(), f["in_time"].get<std::uint64_t>() +
@@ -38,7 +40,7 @@
 
 // Each message's time, from its birth to its end, is divided among the causes without rest.
 TEST(Fleet, NoMomentOfAMessageIsCountedTwiceOrForgotten) {
-  Fleet fleet(worldOf(kTroubled), {policy("module"), 6});
+  Fleet fleet(worldOf(kTroubled), {policy("module"), 6, nullptr});
   fleet.play();
   std::size_t looked = 0;
   for (const Submission& s : fleet.submissions) {
@@ -110,6 +112,35 @@
   EXPECT_LT(3 * sound, spoilt_ones);
 }
 
+// The module compiled with variables for its values is the module as long as none is changed, also on a
+// thread that played others before.
+TEST(Tuned, WithNothingChangedItDecidesAsTheModule) {
+  World w = worldOf(kTroubled);
+  const auto without = [](json f) {
+    f.erase("policy");
+    return f.dump();
+  };
+  const auto tuned = [&](Tuning t, std::uint64_t seed) {
+    return without(Fleet(w, {policy("tuned"), seed, std::make_shared<const Tuning>(std::move(t))}).play());
+  };
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const std::string module = without(played(w, seed));
+    EXPECT_NE(tuned({{"kBurst", 20}, {"kStreak", 1}, {"kTimeoutRatio", 30}}, seed), module);
+    EXPECT_EQ(tuned({}, seed), module);
+  }
+}
+
+// Each value is one that the module looks at: changed by much, something is decided otherwise in some world.
+TEST(Tuned, ListsTheModulesValues) {
+  std::size_t constants = 0;
+  for (const char* file : {"state", "tags", "bound", "health", "attempts", "admission"}) {
+    std::ifstream in(std::string(GRADEMUX_SOURCE) + "/src/decision/" + file + ".h");
+    for (std::string line; std::getline(in, line);) constants += line.rfind("constexpr ", 0) == 0;
+  }
+  EXPECT_EQ(tunedValues().size(), constants - 2);  // less a second's microseconds and `never`
+  for (const TunedValue& v : tunedValues()) EXPECT_GT(v.value, 0) << v.name;
+}
+
 TEST(Partner, AWindowAndARateLetTheirLimitPass) {
   for (const bool window : {true, false}) {
     PartnerKind kind;
--- a/tests/model/spoilt.h
+++ b/tests/model/spoilt.h
@@ -60,7 +60,7 @@
 )";
 
 inline json played(const World& w, std::uint64_t seed = 1, const PolicySpec* p = policy("module")) {
-  return Fleet(w, {p, seed}).play();
+  return Fleet(w, {p, seed, nullptr}).play();
 }
 
 // The module behind something that changes what it hears, what it is told of the site, or what it does.
@@ -99,8 +99,8 @@
   return s;
 }
 template <class P, void (*Change)(Settings&)>
-std::unique_ptr<Policy> spoilt(const Settings& s, std::uint64_t seed, Truth&) {
-  return std::make_unique<P>(taken(s, Change), seed);
+std::unique_ptr<Policy> spoilt(const Making& m) {
+  return std::make_unique<P>(taken(m.settings, Change), m.seed);
 }
 inline void nothing(Settings&) {}
 inline void allSafe(Settings& s) {
--- a/tests/model/world_test.cpp
+++ b/tests/model/world_test.cpp
@@ -140,6 +140,26 @@
   EXPECT_EQ(status, 2);
 }
 
+// Risk: figures of a world as it was are taken for those of the world as it is.
+TEST_F(Experiments, AChangedWorldIsPlayedAgain) {
+  std::size_t played_now = 0;
+  const auto again = [&] {
+    played_now = 0;
+    return summary(e, play(e, folder.path() + "/changed", 4,
+                           [&](std::size_t done, std::size_t) { played_now = done; }))
+        .dump();
+  };
+  const std::string before = again();
+  EXPECT_EQ(played_now, 12u);
+  EXPECT_EQ(again(), before);
+  EXPECT_EQ(played_now, 0u);
+  std::string text = kTroubled;
+  text.replace(text.find("rate = 40"), 9, "rate = 55");
+  std::ofstream(folder.path() + "/w.toml") << text;
+  EXPECT_NE(again(), before);
+  EXPECT_EQ(played_now, 12u);
+}
+
 TEST_F(Experiments, AVariantsSettingsAreInForce) {
   const auto runs = play(e, folder.path() + "/set", 2, nullptr);
   std::map<std::string, double> offered;
