--- a/model/checker.cpp
+++ b/model/checker.cpp
@@ -81,8 +81,7 @@
   if (l.ended) forget(id);
 }
 
-void Checker::ended(const std::string& id, int sender, bool handed_back, bool delivered, Micros now) {
-  (void)sender;
+void Checker::ended(const std::string& id, bool handed_back, bool delivered, Micros now) {
   const auto at = lives_.find(id);
   if (at == lives_.end() || at->second.ended) return tell(Rule::lost, "a second end: " + id, now);
   Life& l = at->second;
--- a/model/checker.h
+++ b/model/checker.h
@@ -28,7 +28,7 @@
   void outcome(const std::string& id, int sender, int attempt, bool may_have_run, bool ran_for_sure,
                Micros now);
   // An end: delivered, failed (not safe to come again), or handed back (said to be safe).
-  void ended(const std::string& id, int sender, bool handed_back, bool delivered, Micros now);
+  void ended(const std::string& id, bool handed_back, bool delivered, Micros now);
   void senderDied(int sender, Micros now);
   // It is there again: what ran out of time meanwhile may end now.
   void senderBack(int sender, Micros now);
--- a/model/fleet.cpp
+++ b/model/fleet.cpp
@@ -193,8 +193,7 @@
   if (s.since < now()) s.parts[static_cast<std::size_t>(Cause::client)] += now() - s.since;
   const MessageClass& c = settings.classes[s.cls];
   const double left = delivered ? worthAt(c, settings.late, now() - s.born) : 0;
-  ledger.close(c, static_cast<std::int64_t>(s.partner), s.born - kBegin, s.parts, left,
-               delivered ? Cause::count : how);
+  ledger.close(c, s.born - kBegin, s.parts, left, delivered ? Cause::count : how);
 }
 
 Micros Fleet::wayTo() { return static_cast<Micros>(drawn(network_, world.way)); }
@@ -234,7 +233,7 @@
     const Micros at =
         t.at >= 0 ? t.at
                   : static_cast<Micros>(troubles_.between(0.15, 0.6) * static_cast<double>(world.length));
-    clock.at(kBegin + at, [this, &t, at] { begin(t, at); });
+    clock.at(kBegin + at, [this, &t] { begin(t); });
   }
 }
 
@@ -255,7 +254,7 @@
   return chosen;
 }
 
-void Fleet::begin(const Trouble& t, Micros) {
+void Fleet::begin(const Trouble& t) {
   const double part = drawn(troubles_, t.part), size = drawn(troubles_, t.size);
   const Micros length = static_cast<Micros>(drawn(troubles_, t.length)), until = now() + length;
   const TroubleKind kind = t.kind;
@@ -318,7 +317,7 @@
     for (auto& n : nodes_) n->partnerChanged(p);
   };
   for (const std::size_t p : chosen) {
-    partners[p]->begin(kind, size, now(), until);
+    partners[p]->begin(kind, size, until);
     changed(p);
     clock.at(until, [this, p, kind, changed] {
       partners[p]->end(kind, now());
--- a/model/fleet.h
+++ b/model/fleet.h
@@ -99,9 +99,9 @@
   void carryOut(const std::vector<Action>& actions);
   void end(const std::string& id, bool handed_back, Micros pause);
   void call(const Send& s);
-  void reach(std::uint64_t call, bool fresh);
+  void reach(std::uint64_t call);
   void outcome(std::uint64_t call, Result r, Micros wait = 0, bool stale = false);
-  void settle(const std::string& id, Held& h, bool begins);
+  void settle(Held& h, bool begins);
   void arrived(Call& c);
   void keepConnection(std::size_t endpoint);
   void expireIdle(std::size_t endpoint);
@@ -121,7 +121,7 @@
   std::unique_ptr<Policy> policy_;
   std::vector<Event> events_;
   bool turn_due_ = false;
-  Micros last_turn_ = INT64_MIN / 4, wake_at_ = INT64_MAX;
+  Micros last_turn_ = INT64_MIN / 4;
   std::unordered_map<std::string, Held> held_;
   std::vector<std::string> fresh_;
   std::unordered_map<std::uint64_t, Call> calls_;
@@ -179,7 +179,7 @@
   void arrived(std::size_t partner) { --on_way_[partner]; }
   Micros serviceOf(std::size_t cls);
   void partnerLearned(std::size_t partner, int sender) { partners[partner]->learned(sender); }
-  std::uint64_t calls = 0, refusals = 0, handshakes = 0, attempts_late = 0;
+  std::uint64_t calls = 0, refusals = 0, handshakes = 0;
 
  private:
   void drawPartners();
@@ -190,7 +190,7 @@
   void handIn(std::size_t submission);
   void arrive(std::size_t partner, Micros at);
   void again(std::size_t submission, Micros in);
-  void begin(const Trouble& t, Micros at);
+  void begin(const Trouble& t);
   std::set<std::size_t> struck(const Trouble& t, double part);
   void tellAll(const std::vector<Endpoint>& entries);
   Endpoint told(std::size_t endpoint) const;
--- a/model/ledger.cpp
+++ b/model/ledger.cpp
@@ -25,8 +25,7 @@
   return c.worth * (1 - (1 - c.late_worth) * over / span);
 }
 
-void Ledger::close(const MessageClass& c, std::int64_t, Micros born, const Parts& parts, double left,
-                   Cause how) {
+void Ledger::close(const MessageClass& c, Micros born, const Parts& parts, double left, Cause how) {
   ++messages;
   offered += c.worth;
   delivered += left;
--- a/model/ledger.h
+++ b/model/ledger.h
@@ -70,10 +70,9 @@
 
 class Ledger {
  public:
-  // One message, over for good: its class, time by cause, worth left of `full`, and how it ended where that
-  // decides (Cause::count: by time).
-  void close(const MessageClass& c, std::int64_t partner, Micros born, const Parts& parts, double left,
-             Cause how);
+  // One message, over for good: its class, when it was first handed in since the run began, time by cause,
+  // worth left of `full`, and how it ended where that decides (Cause::count: by time).
+  void close(const MessageClass& c, Micros born, const Parts& parts, double left, Cause how);
 
   double offered = 0, delivered = 0;
   std::uint64_t messages = 0, in_time = 0, late = 0, undelivered = 0;
--- a/model/node.cpp
+++ b/model/node.cpp
@@ -56,7 +56,7 @@
     events_.push_back(std::move(r));
     Held& back = held_[id] = std::move(h);
     back.out = 0;
-    settle(id, back, true);
+    settle(back, true);
   }
   journal_.clear();
   if (fleet_.world.keeps_knowledge) survey();
@@ -73,7 +73,7 @@
   for (auto& [id, h] : all) {
     Submission& s = fleet_.submissions[h.submission];
     if (h.out > 0) s.parts[at(Cause::failed_call)] += now - s.since;
-    else settle(id, h, false);
+    else settle(h, false);
     s.since = now;
     if (h.accepted) journal_.emplace_back(id, std::move(h));
     else fleet_.unheard(h.submission);
@@ -119,7 +119,7 @@
   Held& h = held_[id];
   h.submission = submission;
   h.order = ++next_order_;
-  settle(id, h, true);
+  settle(h, true);
   fresh_.push_back(id);
   Arrival a;
   a.id = id;
@@ -251,7 +251,7 @@
   Submission& s = fleet_.submissions[submission];
   const Micros now = fleet_.now();
   if (h.out > 0) s.parts[at(Cause::failed_call)] += now - s.since;
-  else settle(id, h, false);
+  else settle(h, false);
   s.since = now;
   const bool was_accepted = h.accepted;
   const bool may_have_run = std::any_of(h.attempts.begin(), h.attempts.end(),
@@ -262,7 +262,7 @@
   if (c.effect == Effect::keyed)
     for (const Attempt& a : h.attempts)
       if (a.out || !a.never_ran) again_until = std::min(again_until, a.sent + c.memory);
-  if (was_accepted) fleet_.checker.ended(id, index_, handed_back, false, now);
+  if (was_accepted) fleet_.checker.ended(id, handed_back, false, now);
   held_.erase(it);
   if (handed_back) {
     s.how = was_accepted ? Cause::count : Cause::refused;
@@ -284,7 +284,7 @@
   const Micros now = fleet_.now();
   fleet_.checker.sent(s.id, index_, s.endpoint, now);
   if (h.out++ == 0) {
-    settle(s.id, h, false);
+    settle(h, false);
     sub.since = now;
   }
   const std::uint64_t n = ++fleet_.calls;
@@ -321,7 +321,7 @@
     idle.pop_back();
     --e.open;  // it is the call's now
     if (dead) return later(2 * way, [this](std::uint64_t k) { outcome(k, Result::reset, 0, true); });
-    return later(way, [this](std::uint64_t k) { reach(k, false); });
+    return later(way, [this](std::uint64_t k) { reach(k); });
   }
   const int most_open = p.traits().connections;
   if (!e.there || !p.reachable() || (most_open > 0 && e.open > most_open)) {
@@ -329,11 +329,11 @@
     return later(2 * way, [this](std::uint64_t k) { outcome(k, Result::connect_failed); });
   }
   ++fleet_.handshakes;
-  later(3 * way, [this](std::uint64_t k) { reach(k, true); });
+  later(3 * way, [this](std::uint64_t k) { reach(k); });
 }
 
 // It comes to the partner. What it does there happens though nobody may hear of it any more.
-void Node::reach(std::uint64_t n, bool) {
+void Node::reach(std::uint64_t n) {
   const auto it = calls_.find(n);
   if (it == calls_.end()) return;
   Call& c = it->second;
@@ -353,7 +353,7 @@
   if (!p.reachable()) return answer(way, Result::reset, 0);
   const std::size_t submission = std::strtoull(c.id.c_str(), nullptr, 10);
   const std::size_t cls = fleet_.submissions[submission].cls;
-  const Partner::Answer a = p.take(index_, fleet_.serviceOf(cls), now);
+  const Partner::Answer a = p.take(fleet_.serviceOf(cls), now);
   if (a.how == Partner::Taken::silent) return;
   if (a.how == Partner::Taken::full) {
     ++fleet_.refusals;
@@ -415,14 +415,14 @@
       o.finished = true;
       s.parts[at(Cause::answer)] += now - s.since;
       s.since = now;
-      fleet_.checker.ended(c.id, index_, false, true, now);
+      fleet_.checker.ended(c.id, false, true, now);
       const std::size_t submission = held.submission;
       held_.erase(h);
       fleet_.over(submission, true, Cause::count);
     } else if (last) {
       s.parts[at(Cause::failed_call)] += now - s.since;
       s.since = now;
-      settle(c.id, held, true);
+      settle(held, true);
     }
   }
   add(std::move(o));
@@ -488,7 +488,7 @@
 }
 
 // A message begins to be held, or that ends.
-void Node::settle(const std::string&, Held& h, bool begins) {
+void Node::settle(Held& h, bool begins) {
   Submission& s = fleet_.submissions[h.submission];
   const Parts& shown = clockOf(s.partner).read(fleet_.now(), full());
   if (begins) {
--- a/model/partner.cpp
+++ b/model/partner.cpp
@@ -34,8 +34,7 @@
   return std::min(tokens_ + since * limit, std::max(1.0, limit * kBurst)) >= calls;
 }
 
-Partner::Answer Partner::take(int sender, Micros service, Micros now) {
-  (void)sender;
+Partner::Answer Partner::take(Micros service, Micros now) {
   Answer a;
   a.at = now;
   const auto full = [&](Micros until) {
@@ -100,8 +99,7 @@
   return f;
 }
 
-void Partner::begin(TroubleKind kind, double size, Micros now, Micros until) {
-  (void)now;
+void Partner::begin(TroubleKind kind, double size, Micros until) {
   if (kind == TroubleKind::slow) slowness = size;
   else if (kind == TroubleKind::limit) limit_share = size;
   if (kind != TroubleKind::refuse && kind != TroubleKind::hang && kind != TroubleKind::shut) return;
--- a/model/partner.h
+++ b/model/partner.h
@@ -50,7 +50,7 @@
   Micros returned() const { return returned_; }
   double share(Micros now) const;  // of its capacity and limit, cold
   // A call that has reached it; `service`: at usual pace, in microseconds.
-  Answer take(int sender, Micros service, Micros now);
+  Answer take(Micros service, Micros now);
   // Would a call that comes now, after so many others, be served? For those that see the true state.
   bool room(Micros now, int others) const;
   // Of all that reach it, refused ones too, while it is cold.
@@ -58,7 +58,7 @@
   // The sender has heard of a call that failed, or was refused, in an outage.
   void learned(int sender) { knows_.insert(sender); }
 
-  void begin(TroubleKind kind, double size, Micros now, Micros until);
+  void begin(TroubleKind kind, double size, Micros until);
   void end(TroubleKind kind, Micros now);
   double slowness = 1;     // of its pace now
   double limit_share = 1;  // of its limit now
--- a/tests/model/checker_test.cpp
+++ b/tests/model/checker_test.cpp
@@ -105,9 +105,9 @@
 TEST_F(Held, TwoEndsAndNoneAreBreaks) {
   checker.accepted("1.0", 0, cls, 7, "", 20'000'000);
   checker.accepted("2.0", 0, cls, 7, "", 20'000'000);
-  checker.ended("1.0", 0, true, false, 1000);
+  checker.ended("1.0", true, false, 1000);
   EXPECT_EQ(checker.total(), 0u);
-  checker.ended("1.0", 0, true, false, 1000);
+  checker.ended("1.0", true, false, 1000);
   checker.finish(30'000'000);
   EXPECT_EQ(checker.broken[static_cast<std::size_t>(Rule::lost)], 2u);
 }
--- a/tests/model/fleet_test.cpp
+++ b/tests/model/fleet_test.cpp
@@ -156,7 +156,7 @@
     Partner p(1, t, rules, 1);
     int served = 0, told = 0;
     for (int i = 0; i < 1000; ++i) {  // 100 a second for 10 s
-      const Partner::Answer a = p.take(0, 1000, kBegin + i * 10'000);
+      const Partner::Answer a = p.take(1000, kBegin + i * 10'000);
       served += a.how == Partner::Taken::served;
       told += a.wait > 0;
     }
@@ -178,7 +178,7 @@
   t.capacity = 20;
   const auto push = [&](Micros gap, bool knows) {
     Partner p(1, t, rules, 1);
-    p.begin(TroubleKind::refuse, 1, kBegin, 0);
+    p.begin(TroubleKind::refuse, 1, 0);
     if (knows) p.learned(0);
     p.end(TroubleKind::refuse, kBegin + 1'000'000);
     for (Micros at = kBegin + 1'000'000; at < kBegin + 5'000'000; at += gap) {
