Idle connections: how many uses each needs grows with the number of senders

At fault: Attempts::keepConnection. The uses that an idle connection must expect grew with the number of senders up to 10 and no further, so each of 100 with half a use a second kept one, and endpoints hold a few dozen.

--- a/src/decision/attempts.h
+++ b/src/decision/attempts.h
@@ -10,7 +10,7 @@
 constexpr double kDeadSigns = 2.5;  // signs in RampTimeMs that connections die idle; half among many senders
 constexpr Micros kSuspect = 3;      // of RampTimeMs: so long a sign against idle connections is heeded
 constexpr double kReuseLeast = 2;   // an idle connection with fewer uses to expect is closed ...
-constexpr double kCrowd = 10;       // ... where so many senders or more share an endpoint, less so below
+constexpr double kCrowd = 10;       // ... where so many senders share an endpoint; in proportion for others
 
 struct Attempts : Health {
   using Health::Health;
@@ -113,7 +113,7 @@
     s.idle.push_back(now);
     const double others =
         std::max(0.0, perSecond(s.dest->traffic) - 1 / trafficSpan()) / readyServers(*s.dest);
-    const double least = kReuseLeast * std::min(1.0, set.senders / kCrowd);
+    const double least = kReuseLeast * set.senders / kCrowd;
     const bool full_table = many() && now - s.no_connect < kSuspect * set.ramp_time;
     if (!full_table && others * static_cast<double>(set.conn_idle) / kSecond >= least) return;
     acts.push_back(CloseIdle{s.id});
