After two refusals in a row no first try passes the pacing, where senders are many

At fault: Bound::opens, which lets them pass unless the destination is down.

Change: nor after two refusals since its last answer. Backoff: no overflow where the longest pause is the largest figure (by reading; the tests under UBSan did not show it before).

--- a/src/core/backoff.h
+++ b/src/core/backoff.h
@@ -22,8 +22,8 @@
   Micros next(Micros least, Micros most) {
     least = std::max<Micros>(1, least);
     most = std::max(least, most);
-    ceiling_ = ceiling_ < least ? 2 * std::min(least, most / 2 + 1) : 2 * std::min(ceiling_, most / 2 + 1);
-    ceiling_ = std::clamp(ceiling_, least, most);
+    const Micros from = std::max(ceiling_, least);
+    ceiling_ = from > most / 2 ? most : 2 * from;
     return std::uniform_int_distribution<Micros>(least, ceiling_)(random_);
   }
   // Where it is known over which span all that might come as one are to be spread.
--- a/src/decision/bound.h
+++ b/src/decision/bound.h
@@ -67,7 +67,7 @@
   // When a guard next lets a call pass; `must_by` is set for a first try that may pass pacing, see below.
   Micros opens(const Guard& g, Micros must_by) const {
     const auto paced = static_cast<Micros>(std::ceil(g.u));
-    const bool pass = must_by != kNever && !g.down && paced >= must_by;
+    const bool pass = must_by != kNever && !g.down && g.refused < 2 && paced >= must_by;
     return pass ? g.wait_until : std::max(g.wait_until, paced);
   }
 
--- a/tests/decision/bound_test.cpp
+++ b/tests/decision/bound_test.cpp
@@ -146,6 +146,27 @@
   EXPECT_EQ(r.run({patient, hasty}), Ids{"hasty"});
 }
 
+// herd+vast 359820571784: where refused calls use a limit up, those that pass keep it used up for all.
+TEST(Bound, NoFirstTryPassesAfterTwoRefusalsInARow) {
+  Settings s = makeSettings();
+  s.senders = 200;
+  s.weights = WeightKind::nominal;
+  Rig r(s);
+  r.list({makeEndpoint("e1", 1, "shared", 10)});
+  auto passes = [&](const std::string& id) {
+    Arrival hasty = r.at(r.now + 10 * kMs).arrival(id, "safe", 1);
+    hasty.give_up_at = r.now + 250 * kMs;
+    return !r.run({hasty}).empty();
+  };
+  r.arrive("m", "safe", 1);
+  r.at(100 * kMs).end("m", 0, Result::ok);
+  ASSERT_EQ(r.at(kS).arrive("x", "safe", 1), Ids{"x"});
+  r.at(kS + 100 * kMs).end("x", 0, Result::full);
+  ASSERT_TRUE(passes("one"));
+  r.at(r.now + 50 * kMs).end("one", 0, Result::full);
+  EXPECT_FALSE(passes("two"));
+}
+
 // gyor-nyugat-later big-1: told waits of a shut destination end for all at one moment, and it fell over.
 TEST(Bound, SendersThatWereToldALongWaitComeBackSpread) {
   Settings s = makeSettings();
