--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -41,15 +41,16 @@
   Micros estimate = 0;  // guess of its own work, 0: none
   bool repeat = false;  // a client's next try, or held before by a sender that died
 };
-// A message that this sender had taken on before its process ended, with its attempts, all over by now.
+// A message that this sender had taken on before its process ended, with its attempts.
 struct PastAttempt {
-  std::string endpoint;  // may be listed no more, or unknown
-  Micros sent = 0;       // may be before the first turn
-  bool may_have_run = true;
+  std::string endpoint;                   // may be listed no more, or unknown
+  Micros sent = 0;                        // may be before the first turn
+  bool may_have_run = true, out = false;  // out: its outcome is still to come
 };
 struct Resumed {
   Arrival message;
   std::vector<PastAttempt> attempts;
+  ClassVersion rules;  // that it was taken on under; null: its class as it is now
 };
 // This process ends at `at`: an outcome that comes later is not heard.
 struct Stopping {
@@ -58,10 +59,6 @@
 struct Gone {
   std::string id;
 };  // nobody wants it any more
-struct Started {
-  std::string id;
-  int attempt = 0;
-};  // a streamed answer has begun
 struct Outcome {
   std::string id;
   int attempt = 0;
@@ -78,8 +75,8 @@
   std::vector<Endpoint> endpoints;
 };
 struct Wake {};
-using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Started, Outcome, ListUpdate, Wake,
-                           Lesson, Experience, Survey>;
+using Event = std::variant<Arrival, Resumed, Ailment, Stopping, Gone, Outcome, ListUpdate, Wake, Lesson,
+                           Experience, Survey, Retuned>;
 
 // ---- actions
 struct Send {
--- a/include/grademux/settings.h
+++ b/include/grademux/settings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,11 @@
   RepeatGroup group = RepeatGroup::all;
   Micros memory = 0;     // keyed: how long a repeat is dropped
   bool ordered = false;  // one at a time per order key
+  int max_attempts = 0;  // of one message; 0: Settings::max_attempts
 };
+// A class as it was when a message was taken on: the message keeps it to its end, whatever the settings say
+// by then. Those of one turn to the other are shared.
+using ClassVersion = std::shared_ptr<const MessageClass>;
 
 struct Tenant {
   std::string name;
@@ -71,4 +76,9 @@
   double over_share_worth = 1;
 };
 
+// An event: from now on these settings hold. Messages that are open keep the class they were taken on under.
+struct Retuned {
+  Settings settings;
+};
+
 }  // namespace grademux
--- a/rig/relay.cpp
+++ b/rig/relay.cpp
@@ -58,7 +58,9 @@
   const Config c = readConfig();
   RespDoor door(io, parseAddress(c.listen), {512, 512});
   Relay relay(io, c);
-  door.start(relay);
+  operate::State state;
+  state.ready();
+  door.start(relay, state);
   boost::asio::signal_set signals(io, SIGTERM);
   signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
   io.run();
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -55,6 +55,7 @@
   }
   // The process ends: what waits in a step is refused, and so is what would have to wait from now on.
   void drain();
+  void setPause(Micros pause) { pause_ = pause; }  // told to clients that a step refuses
   std::size_t waiting() const { return waiting_.size(); }
 
  private:
--- a/src/carriers/http/http_carrier.h
+++ b/src/carriers/http/http_carrier.h
@@ -28,6 +28,9 @@
   void closeIdle(const std::string& endpoint) override;
   std::size_t out() const override { return calls_.size(); }
   std::size_t idle() const { return idle_count_; }
+  void setLimits(Limits limits) {
+    limits_ = limits;
+  }  // idle connections over them end as they are used or age
 
  private:
   using CallId = std::pair<std::string, int>;
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "../decision/classes.h"
 #include "../knowledge/ageing.h"
 #include "../log/log.h"
 #include "clock.h"
@@ -42,6 +43,7 @@
            EndNotices& notices)
     : io_(io),
       settings_(settings),
+      classes_(decision::classesOf(settings_)),
       sender_(std::move(settings), seed),
       journal_(journal),
       carrier_(carrier),
@@ -92,8 +94,10 @@
     m.message.destination = e.message.destination;
     m.message.give_up_at = e.message.give_up_at + ahead;
     m.message.repeat = true;
+    m.rules = e.message.rules;
+    if (m.rules) longest_ = std::max(longest_, m.rules->deadline);
     for (const JournaledAttempt& a : e.attempts)
-      m.attempts.push_back({a.endpoint, a.sent + ahead, !a.never_ran});
+      m.attempts.push_back({a.endpoint, a.sent + ahead, !a.never_ran, false});
     events_.push_back(std::move(m));
   }
   if (!r.entries.empty()) log::write(log::Event::journal_resumed, {{"messages", r.entries.size()}});
@@ -189,10 +193,10 @@
 void Host::submit(Submission s, Reply reply) {
   if (!s.partner.empty()) return reply(Answer::rejected("unknown-destination", "unknown partner"));
   const TakenOn& m = s.message;
-  const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(),
-                                [&](const MessageClass& c) { return c.name == m.message_class; });
-  if (cls == settings_.classes.end()) return reply(Answer::rejected("unknown-class", "unknown class"));
-  if (cls->effect == Effect::keyed && m.idempotency_key.empty())
+  const auto cls = std::find_if(classes_.begin(), classes_.end(),
+                                [&](const ClassVersion& c) { return c->name == m.message_class; });
+  if (cls == classes_.end()) return reply(Answer::rejected("unknown-class", "unknown class"));
+  if ((*cls)->effect == Effect::keyed && m.idempotency_key.empty())
     return reply(Answer::rejected("missing-key", "no k"));
   // The id first: what was taken on stays so, even if its destination is listed no more.
   const std::uint64_t digest = digestOf(m);
@@ -210,6 +214,7 @@
   if (list_.size() == 0 && left_.empty()) return reply(Answer::refused(settings_.max_pause));
   if (!knowsDestination(m.destination))
     return reply(Answer::rejected("unknown-destination", "unknown destination"));
+  s.message.rules = *cls;
   if (!journal_.reserve(m)) return reply(Answer::refused(settings_.max_pause));
   Arrival a;
   a.id = m.id;
@@ -277,6 +282,14 @@
   owed_.erase(it);
 }
 
+void Host::retune(Settings settings) {
+  settings_ = std::move(settings);
+  classes_ = decision::classesOf(settings_);
+  // Never less: ids of messages that came under a longer deadline may come again for as long.
+  for (const MessageClass& c : settings_.classes) longest_ = std::max(longest_, c.deadline);
+  add(Retuned{settings_});
+}
+
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
 void Host::add(Event e) {
@@ -414,7 +427,7 @@
 // Why it could not be delivered, where that is that the file or the list has no place for it any more.
 void Host::tellIfOrphaned(const TakenOn& m, const End& end) const {
   const auto same = [&](const MessageClass& c) { return c.name == m.message_class; };
-  const bool no_class = std::none_of(settings_.classes.begin(), settings_.classes.end(), same);
+  const bool no_class = !m.rules && std::none_of(settings_.classes.begin(), settings_.classes.end(), same);
   if (!no_class && list_.lists(m.destination)) return;
   log::write(log::Event::message_orphaned,
              {{"message", m.id},
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -42,12 +42,16 @@
   // slices, one a turn, so that calls go on meanwhile.
   std::int64_t list(ListAnswer answer);
   std::int64_t version() const { return list_.index(); }
+  bool listed() const { return list_.size() > 0; }  // any endpoint
   void submit(Submission s, Reply reply) override;
   Status status(const std::string& id) const override;
   void whenEnded(const std::string& id, std::function<void(const End&)> then) override;
   void outcome(Outcome o);
   void told(const std::string& id);  // a notice was answered
   void tap(Tap tap) { tap_ = std::move(tap); }
+  // Other settings, which have been checked, hold for what is handed in from now on, and for all decisions;
+  // messages that are open keep the class they came under.
+  void retune(Settings settings);
   void stopAt(Micros at);  // the process ends then, on the monotonic clock
   bool idle() const { return events_.empty() && held_.empty(); }
 
@@ -76,6 +80,7 @@
 
   boost::asio::io_context& io_;
   Settings settings_;
+  std::vector<ClassVersion> classes_;  // of these
   Sender sender_;
   Tap tap_;
   Learned surveyed_;
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <set>
 #include <stdexcept>
 
 #include "file.h"
@@ -25,6 +26,7 @@
 // Compaction is worth its writes once this much, and more than half of the file, is of messages long over.
 constexpr std::size_t kBatch = 32768;  // bytes of ends in one record
 constexpr std::uint64_t kLeastWaste = 64u << 10;
+constexpr std::int64_t kLostRules = -1;  // a message names rules that damage took
 
 enum Type : char {
   kAccepted = 'A',
@@ -38,7 +40,8 @@
                   // each change
   kListed = 'D',  // its version, 1 if it begins anew, then name and entry of
                   // what has changed
-  kAiling = 'H'
+  kAiling = 'H',
+  kRules = 'C'  // a version of a class, and the number by which messages name it
 };
 
 std::uint32_t crcOf(const char* data, std::size_t size) {
@@ -132,7 +135,71 @@
   return w;
 }
 
-std::string acceptedPayload(const TakenOn& m) {
+std::int64_t bitsOf(double v) {
+  std::int64_t bits;
+  static_assert(sizeof bits == sizeof v);
+  std::memcpy(&bits, &v, sizeof v);
+  return bits;
+}
+double ofBits(std::int64_t bits) {
+  double v;
+  std::memcpy(&v, &bits, sizeof v);
+  return v;
+}
+
+std::string rulesPayload(std::int64_t number, const MessageClass& c) {
+  return Writer(kRules)
+      .number(number)
+      .text(c.name)
+      .number(c.aim)
+      .number(c.deadline)
+      .number(bitsOf(c.aim_stretch))
+      .number(bitsOf(c.worth))
+      .number(bitsOf(c.late_worth))
+      .number(static_cast<std::int64_t>(c.effect))
+      .number(static_cast<std::int64_t>(c.group))
+      .number(c.memory)
+      .number(c.ordered)
+      .number(c.max_attempts)
+      .out();
+}
+std::uint64_t sizeOfRules(const MessageClass& c) { return kHeader + 1 + 12 * 8 + c.name.size(); }
+
+template <class E>
+E readEnum(Reader& r, E last) {
+  const std::int64_t v = r.number();
+  if (v < 0 || v > static_cast<std::int64_t>(last)) throw std::runtime_error("unknown rule");
+  return static_cast<E>(v);
+}
+
+MessageClass readRules(Reader& r) {
+  MessageClass c;
+  c.name = r.text();
+  c.aim = r.number();
+  c.deadline = r.number();
+  c.aim_stretch = ofBits(r.number());
+  c.worth = ofBits(r.number());
+  c.late_worth = ofBits(r.number());
+  c.effect = readEnum(r, Effect::unsafe);
+  c.group = readEnum(r, RepeatGroup::cell);
+  c.memory = r.number();
+  c.ordered = r.number() != 0;
+  c.max_attempts = static_cast<int>(r.number());
+  if (c.aim <= 0 || c.deadline < c.aim || c.max_attempts < 1) throw std::runtime_error("unusable rules");
+  return c;
+}
+
+// Damage took the rules that a message names: it is held to the strictest.
+ClassVersion strictest(const std::string& name) {
+  MessageClass c;
+  c.name = name;
+  c.aim = c.deadline = 60'000'000;
+  c.effect = Effect::unsafe;
+  c.max_attempts = 1;
+  return std::make_shared<const MessageClass>(std::move(c));
+}
+
+std::string acceptedPayload(const TakenOn& m, std::int64_t rules) {
   return Writer(kAccepted)
       .text(m.id)
       .text(m.message_class)
@@ -142,6 +209,7 @@
       .number(m.destination)
       .number(m.give_up_at)
       .number(m.repeat)
+      .number(rules)
       .out();
 }
 std::string attemptedPayload(const std::string& id, const JournaledAttempt& a) {
@@ -190,7 +258,7 @@
 }
 
 std::uint64_t sizeOf(const TakenOn& m) {
-  return kHeader + 1 + 8 * 8 + m.id.size() + m.message_class.size() + m.order_key.size() +
+  return kHeader + 1 + 9 * 8 + m.id.size() + m.message_class.size() + m.order_key.size() +
          m.idempotency_key.size() + m.body.size();
 }
 
@@ -278,6 +346,10 @@
     }
     return;
   }
+  if (type == kRules) {
+    const std::int64_t number = r.number();
+    return keepRules(number, std::make_shared<const MessageClass>(readRules(r)));
+  }
   const std::string id = r.text();
   if (type == kAiling) {
     Ailment a;
@@ -304,6 +376,10 @@
     e.message.destination = r.number();
     e.message.give_up_at = r.number();
     e.message.repeat = r.number() != 0;
+    if (const std::int64_t rules = r.more() ? r.number() : 0; rules != 0) {  // versions before 0.5 kept none
+      const auto known = rules_.find(rules);
+      e.message.rules = known != rules_.end() ? known->second : strictest(e.message.message_class);
+    }
     e.order = ++next_order_;
     eraseEntry(id);
     entry_bytes_ += sizeOf(e.message) + kSeeThrough;
@@ -348,13 +424,14 @@
 // What a compaction would write, at most.
 std::uint64_t Journal::liveBytes() const {
   return 2 * (kHeader + 16) + list_bytes_ + list_bytes_ / kBatch * (kHeader + 17) +
-         ailments_.size() * kAilment + past_bytes_ + entry_bytes_;
+         ailments_.size() * kAilment + past_bytes_ + entry_bytes_ + rules_bytes_;
 }
 
 // Guards against a message that is taken on and then can't be kept. Right after a compaction the file holds
 // what is live, and the next one writes as much again beside it.
 bool Journal::reserve(const TakenOn& m) {
-  const std::uint64_t more = reserved_ + sizeOf(m) + kSeeThrough, live = liveBytes() + more;
+  const std::uint64_t rules = m.rules && rules_at_.count(m.rules.get()) == 0 ? sizeOfRules(*m.rules) : 0;
+  const std::uint64_t more = reserved_ + sizeOf(m) + kSeeThrough + rules, live = liveBytes() + more;
   auto fits = [&](std::uint64_t file) { return blocks(file) + blocks(live) + kLeastWaste <= room(); };
   const auto has_room = [&] {
     return fits(live) && (fits(size_ + buffer_.size() + more) || (compact() && fits(size_ + more)));
@@ -380,7 +457,22 @@
   apply(payload);
 }
 
-void Journal::accepted(const TakenOn& m) { append(acceptedPayload(m)); }
+void Journal::accepted(const TakenOn& m) { append(acceptedPayload(m, numberOf(m.rules))); }
+std::int64_t Journal::numberOf(const ClassVersion& rules) {
+  if (!rules) return 0;
+  const auto known = rules_at_.find(rules.get());
+  if (known != rules_at_.end()) return known->second;
+  const std::int64_t number = next_rules_ + 1;
+  frame(buffer_, rulesPayload(number, *rules));
+  keepRules(number, rules);
+  return number;
+}
+void Journal::keepRules(std::int64_t number, ClassVersion rules) {
+  next_rules_ = std::max(next_rules_, number);
+  if (!rules_.emplace(number, rules).second) return;
+  rules_bytes_ += sizeOfRules(*rules);
+  rules_at_[rules.get()] = number;
+}
 void Journal::attempted(const std::string& id, const JournaledAttempt& a) { append(attemptedPayload(id, a)); }
 void Journal::neverRan(const std::string& id, std::size_t attempt) { append(neverRanPayload(id, attempt)); }
 void Journal::noticeOwed(const std::string& id, const Notice& n) { append(owedPayload(id, n)); }
@@ -511,8 +603,18 @@
     ends = Writer(kPast);
   }
   if (ends.out().size() > 1) frame(data, ends.out());
+  // Rules that no message has any more are left out, and forgotten.
+  std::set<std::int64_t> used;
+  for (const Entry* e : order)
+    if (e->message.rules && rules_at_.count(e->message.rules.get()))
+      used.insert(rules_at_[e->message.rules.get()]);
+  for (const std::int64_t number : used) frame(data, rulesPayload(number, *rules_.at(number)));
+  const auto named = [this](const TakenOn& m) {
+    const auto at = rules_at_.find(m.rules.get());
+    return at == rules_at_.end() ? m.rules ? kLostRules : 0 : at->second;
+  };
   for (const Entry* e : order) {
-    frame(data, acceptedPayload(e->message));
+    frame(data, acceptedPayload(e->message, named(e->message)));
     for (std::size_t i = 0; i < e->attempts.size(); ++i) {
       frame(data, attemptedPayload(e->message.id, e->attempts[i]));
       if (e->attempts[i].never_ran) frame(data, neverRanPayload(e->message.id, i));
@@ -533,6 +635,15 @@
   fd_ = fd;
   size_ = data.size();
   buffer_.clear();
+  for (auto it = rules_.begin(); it != rules_.end();) {
+    if (used.count(it->first)) {
+      ++it;
+      continue;
+    }
+    rules_bytes_ -= sizeOfRules(*it->second);
+    rules_at_.erase(it->second.get());
+    it = rules_.erase(it);
+  }
   return true;
 }
 
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -69,7 +69,7 @@
 
   // Each of these appends to a buffer; flush() writes it. False: nothing was written, the buffer waits for
   // the next flush, and what it promises must not be done.
-  void accepted(const TakenOn& m);
+  void accepted(const TakenOn& m);  // with the rules of its class, once for all that have the same
   void attempted(const std::string& id, const JournaledAttempt& a);
   void neverRan(const std::string& id, std::size_t attempt);
   void noticeOwed(const std::string& id, const Notice& n);
@@ -108,6 +108,8 @@
   void applyList(const std::string& payload);
   void append(const std::string& payload);
   void apply(const std::string& payload);
+  std::int64_t numberOf(const ClassVersion& rules);
+  void keepRules(std::int64_t number, ClassVersion rules);
   void replay(const std::string& data);
   void doubt();
   std::uint64_t liveBytes() const;
@@ -119,6 +121,11 @@
   std::uint64_t disk_ = 0, size_ = 0, reserved_ = 0, next_order_ = 0;
   int fd_ = -1;
   std::string buffer_;
+  // Versions of classes that the file has, by the number that its messages name.
+  std::map<std::int64_t, ClassVersion> rules_;
+  std::unordered_map<const MessageClass*, std::int64_t> rules_at_;
+  std::int64_t next_rules_ = 0;
+  std::uint64_t rules_bytes_ = 0;
   std::unordered_map<std::string, Entry> entries_;
   std::uint64_t entry_bytes_ = 0;  // of those, with what each is seen through by
   // Ends in the order in which they may be forgotten, and where each stands (a deque moves none of them).
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -16,6 +16,7 @@
   std::int64_t destination = 0;
   Micros give_up_at = 0;  // Unix time
   bool repeat = false;
+  ClassVersion rules;  // its class as it was when it was taken on; null: before versions were kept
 };
 
 // FNV-1a, 64 bits (draft-eastlake-fnv), going on from `from`. Its values are destinations' numbers, and
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -66,7 +66,11 @@
 
 Settings readSettings(const json& o) {
   Settings s;
-  for (const json& c : array(o, "Categories")) s.classes.push_back(readClass(c));
+  for (const json& c : array(o, "Categories")) {
+    try {
+      s.classes.push_back(readClass(c));
+    } catch (const BadInput& e) { bad("Categories[" + std::to_string(s.classes.size()) + "]: " + e.what()); }
+  }
   if (!absent(o, "Tenants"))
     for (const json& t : array(o, "Tenants"))
       s.tenants.push_back({text(t, "Name"), number(t, "QuotaRps", 0), number(t, "Share", 0)});
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -91,6 +91,21 @@
   t.unknown(" in knowledge");
 }
 
+void readOperators(Table& top, DaemonFile& file, std::vector<Mistake>& mistakes) {
+  const toml::node* n = top.node("operators");
+  if (!n) return;
+  if (!n->is_table()) return top.expected("operators", "a table is expected, begun by [operators]");
+  Table t(*n->as_table(), "operators", mistakes, &file.effective);
+  tcp::endpoint listen;
+  const bool placed = t.listen("listen", listen);
+  t.unknown(" in operators");
+  if (!placed) return;
+  for (const DoorSpec& door : file.doors)
+    if (sameAddress(door.listen, listen))
+      return t.expected("listen", "an address of its own is expected, a door listens there");
+  file.operators = listen;
+}
+
 }  // namespace
 
 std::int64_t DaemonFile::connections() const {
@@ -116,6 +131,7 @@
       file.site = std::move(site);
     }
     readKnowledge(top, file.site.has_value(), file, mistakes);
+    readOperators(top, file, mistakes);
     top.unknown("");
   } catch (const toml::parse_error& e) {
     mistakes.push_back({e.source().begin.line, e.source().begin.column,
--- a/src/daemon/daemon_file.h
+++ b/src/daemon/daemon_file.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
   std::vector<DoorSpec> doors;
   log::Spec log;
   knowledge::KeeperSpec knowledge;
+  std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call
   std::optional<Site> site;          // there if the program can stand alone by this file
   std::vector<Effective> effective;  // every value, in the order of reading
   // Connections of all doors together.
--- a/src/daemon/doors.cpp
+++ b/src/daemon/doors.cpp
@@ -31,13 +31,14 @@
   for (const DoorSpec& s : specs) doors_.push_back({s, make(s)});
 }
 
-void Doors::start(Intake& core) {
+void Doors::start(Intake& core, const operate::State& state) {
   core_ = &core;
-  for (const Entry& d : doors_) d.door->start(core);
+  state_ = &state;
+  for (const Entry& d : doors_) d.door->start(core, state);
 }
 
 void Doors::change(const std::vector<DoorSpec>& specs) {
-  if (draining_) return;
+  if (state_->stopping()) return;
   auto at = [](const std::vector<Entry>& all, const DoorSpec& s) {
     return std::find_if(all.begin(), all.end(), [&](const Entry& e) {
       return e.door && e.spec.kind == s.kind && e.spec.listen == s.listen;
@@ -48,7 +49,7 @@
     Entry e{s, nullptr};
     if (at(doors_, s) == doors_.end()) {
       e.door = make(s);
-      e.door->start(*core_);
+      e.door->start(*core_, *state_);
     }
     next.push_back(std::move(e));
   }
@@ -85,14 +86,31 @@
   });
 }
 
-void Doors::drain() {
-  draining_ = true;
-  for (const Entry& d : doors_) d.door->drain(Leaving::stopping);
+void Doors::drain(Leaving how) {
+  for (const Entry& d : doors_)
+    if (d.door) d.door->drain(how);
+}
+
+void Doors::giveUp() {
+  for (Entry& e : doors_) {
+    e.door->drain(Leaving::removed);
+    leaving_.emplace_back(monotonicNow() + kLeave, std::move(e.door));
+  }
+  reap();
+}
+
+void Doors::retake() {
+  for (Entry& e : doors_) {
+    if (e.door) continue;
+    e.door = make(e.spec);
+    e.door->start(*core_, *state_);
+  }
 }
 
 std::size_t Doors::open() const {
   std::size_t sum = 0;
-  for (const Entry& d : doors_) sum += d.door->open();
+  for (const Entry& d : doors_)
+    if (d.door) sum += d.door->open();
   for (const auto& [until, door] : leaving_) sum += door->open();
   return sum;
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -9,6 +9,7 @@
 
 #include "../knowledge/command.h"
 #include "../membership/partners.h"
+#include "../net/address.h"
 #include "service.h"
 
 using namespace grademux;
@@ -122,6 +123,12 @@
                                             : "GW_CONFIG is not set, and " + path +
                                                   " has no [[class]] and [[partner]]");
     Config config = platform ? readConfig() : configOf(*daemon.site, path);
+    if (daemon.operators) {
+      if (!config.mgmt.empty())
+        throw std::runtime_error(
+            path + ": the operators' address is given by `mgmt` or GW_MGMT: take [operators] out");
+      config.mgmt = addressText(*daemon.operators);
+    }
     serve(io, signals, std::move(config), std::move(daemon), recording);
   } catch (const std::exception& e) {
     std::cerr << "grademux: " << e.what() << '\n';
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -16,6 +16,7 @@
 #include "../membership/partner_names.h"
 #include "../membership/sources.h"
 #include "../net/address.h"
+#include "../operate/door.h"
 #include "../replay/recorder.h"
 #include "doors.h"
 #include "notify.h"
@@ -38,7 +39,7 @@
 
 // Descriptors: the calls out, then a fifth of the rest for idle connections, all else for clients; the doors
 // of the daemon file have theirs out of these.
-std::int64_t leftOf(const Config& c) { return c.sockets - kSpareSockets - c.settings.slots; }
+std::int64_t leftOf(const Config& c) { return c.sockets - spareSockets(c) - c.settings.slots; }
 std::int64_t clientsBeside(const Config& c, const DaemonFile& d, std::int64_t least) {
   const std::int64_t most = leftOf(c) - leftOf(c) / 5;
   if (d.connections() > most - least)
@@ -55,6 +56,10 @@
           static_cast<std::size_t>(std::min(clients, c.sockets / kProvenPart))};
 }
 
+HttpCarrier::Limits carrierLimits(const Config& c) {
+  return {c.settings.dial_timeout, c.settings.conn_idle, static_cast<std::size_t>(leftOf(c) / 5)};
+}
+
 // Where nobody is told of ends: they are on record, and clients ask.
 class OnRecordAlone : public EndNotices {
  public:
@@ -88,7 +93,11 @@
         doors_(io) {
     if (alone()) clientsBeside(config_, daemon_, 0);
     else
-      clients_ = std::make_unique<RespDoor>(io, parseAddress(config_.listen), clientLimits(config_, daemon_));
+      clients_ = std::make_unique<RespDoor>(io, parseAddress(config_.listen), clientLimits(config_, daemon_),
+                                            config_.passed);
+    if (!config_.mgmt.empty())
+      operators_ = std::make_unique<operate::OperatorsDoor>(
+          io, parseAddress(config_.mgmt), [this](operate::Call call) { return operatorsCall(call); });
     if (!recording.path.empty())
       recorder_ = std::make_unique<replay::Recorder>(recording.path, recording.most_bytes, config_.settings,
                                                      config_.seed);
@@ -104,11 +113,8 @@
       platform_notices_ = notices.get();
       notices_ = std::move(notices);
     }
-    carrier_ = std::make_unique<HttpCarrier>(
-        io,
-        HttpCarrier::Limits{config_.settings.dial_timeout, config_.settings.conn_idle,
-                            static_cast<std::size_t>(leftOf(config_) / 5)},
-        [this](Outcome o) { host_->outcome(std::move(o)); });
+    carrier_ = std::make_unique<HttpCarrier>(io, carrierLimits(config_),
+                                             [this](Outcome o) { host_->outcome(std::move(o)); });
     host_ = std::make_unique<Host>(io, config_.settings, config_.seed, *journal_, *carrier_, *notices_);
     admission_ = std::make_unique<Admission>(io, *host_, kPatience, config_.settings.max_pause);
     if (recorder_)
@@ -139,8 +145,9 @@
     host_->recover(config_.known, keeper_->read());
     keeper_->start();
     membership_->start(host_->version());
-    if (clients_) clients_->start(*admission_);
-    doors_.start(*admission_);
+    if (clients_) clients_->start(*admission_, state_);
+    doors_.start(*admission_, state_);
+    state_.ready();
     nextSignal();
   }
 
@@ -161,6 +168,22 @@
 
   std::size_t partners() const { return sources_ ? sources_->table().partners() : 0; }
 
+  operate::Verdict operatorsCall(operate::Call call) {
+    const operate::Phase before = state_.phase();
+    const operate::Verdict verdict = state_.on(call, host_ && host_->listed());
+    const operate::Phase now = state_.phase();
+    if (now != before) {
+      log::write(log::Event::operate_changed, {{"phase", operate::nameOf(now)}});
+      if (now == operate::Phase::standby) sendAway(Leaving::standby);
+    }
+    return verdict;
+  }
+
+  void sendAway(Leaving how) {
+    if (clients_) clients_->drain(how);
+    doors_.drain(how);
+  }
+
   void nextSignal() {
     signals_.async_wait([this](const boost::system::error_code& e, int number) {
       if (e) return;
@@ -180,9 +203,16 @@
     if (alone()) return reloadDaemonFile();
     try {
       Config fresh = readConfig();
-      clientLimits(fresh, daemon_);
+      const std::string lacks = missingSetting(config_, fresh);
+      if (!lacks.empty()) throw std::runtime_error("settings: missing: " + lacks);
       const std::string later = needsRestart(config_, fresh);
-      log::write(log::Event::daemon_reloaded, {{"discovery", fresh.discovery}, {"needs_restart", later}});
+      keepUntilRestart(config_, fresh);
+      clientLimits(fresh, daemon_);
+      const bool retuned = fresh.file.at("settings") != config_.file.at("settings");
+      log::write(
+          log::Event::daemon_reloaded,
+          {{"discovery", fresh.discovery}, {"settings", retuned ? "new" : "same"}, {"needs_restart", later}});
+      if (retuned) retune(fresh);
       if (fresh.discovery != config_.discovery) {
         const tcp::endpoint moved = parseAddress(fresh.discovery);
         watcher_->moveTo(moved, fresh.discovery);
@@ -196,6 +226,15 @@
     membership_->refresh();
   }
 
+  // Whole, in one step between two turns: what comes after it is bound by the new settings.
+  void retune(const Config& fresh) {
+    host_->retune(fresh.settings);
+    carrier_->setLimits(carrierLimits(fresh));
+    admission_->setPause(fresh.settings.max_pause);
+    if (clients_) clients_->setLimits(clientLimits(fresh, daemon_));
+    if (watcher_) watcher_->setSenders(fresh.settings.senders);
+  }
+
   void reloadDaemonFile() {
     std::vector<Mistake> mistakes;
     DaemonFile fresh = readDaemonFile(daemon_.path, mistakes);
@@ -206,7 +245,11 @@
             alone() ? "it has no [[class]] and [[partner]] any more"
                     : "[[class]], [[partner]], [[source]], [dns], [limits] and [journal] are given by "
                       "GW_CONFIG");
-      if (alone()) clientsBeside(config_, fresh, 0);
+      Config config = config_;
+      if (alone()) {
+        config.settings = fresh.site->settings;
+        clientsBeside(config, fresh, 0);
+      }
       const RespDoor::Limits limits = alone() ? RespDoor::Limits{} : clientLimits(config_, fresh);
       // What can fail first; each leaves all as it was if it does.
       log::configure(fresh.log);
@@ -218,11 +261,18 @@
         throw;
       }
       if (clients_) clients_->setLimits(limits);
-      const std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
+      std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
+      if (fresh.operators != daemon_.operators) later += later.empty() ? "operators" : ", operators";
+      fresh.operators = daemon_.operators;
       if (alone()) {
+        if (!sameSettings(*daemon_.site, *fresh.site)) {
+          retune(config);
+          config_ = std::move(config);
+        }
         // What is heeded at the next start only stays as it was, so that it is told again.
         Site now = *daemon_.site;
         now.sources = std::move(fresh.site->sources);
+        now.settings = std::move(fresh.site->settings);
         fresh.site = std::move(now);
       }
       daemon_ = std::move(fresh);
@@ -240,8 +290,8 @@
     stop_from_ = monotonicNow();
     log::write(log::Event::daemon_stopping);
     notifyManager("STOPPING=1");
-    if (clients_) clients_->drain(Leaving::stopping);
-    doors_.drain();
+    state_.stop("SIGTERM");
+    sendAway(Leaving::stopping);
     admission_->drain();
     host_->stopAt(stop_from_ + kStopAfter);
     lookAgain();
@@ -268,6 +318,8 @@
   DaemonFile daemon_;
   boost::asio::steady_timer look_;
   Worker worker_;
+  operate::State state_;
+  std::unique_ptr<operate::OperatorsDoor> operators_;
   Micros stop_from_ = 0;
   std::unique_ptr<replay::Recorder> recorder_;
   std::unique_ptr<Journal> journal_;
--- a/src/daemon/site.cpp
+++ b/src/daemon/site.cpp
@@ -159,13 +159,16 @@
   return c;
 }
 
+bool sameSettings(const Site& old, const Site& fresh) {
+  return replay::headLine(old.settings, 0) == replay::headLine(fresh.settings, 0);
+}
+
 std::string needsRestart(const Site& old, const Site& fresh) {
-  const auto shown = [](const Settings& s) { return replay::headLine(s, 0); };
   std::string names;
   const auto add = [&](bool differs, const char* name) {
     if (differs) names += (names.empty() ? "" : ", ") + std::string(name);
   };
-  add(shown(old.settings) != shown(fresh.settings) || old.sockets != fresh.sockets, "classes and limits");
+  add(old.sockets != fresh.sockets, "limits.sockets");
   add(old.folder != fresh.folder || old.disk_bytes != fresh.disk_bytes, "journal");
   return names;
 }
--- a/src/daemon/site.h
+++ b/src/daemon/site.h
@@ -30,6 +30,8 @@
 // The configuration of a program that stands alone. `path`: of the daemon file.
 Config configOf(const Site& site, const std::string& path);
 
+bool sameSettings(const Site& old, const Site& fresh);
+
 // Which parts differ that are heeded at the next start only, as a list of names.
 std::string needsRestart(const Site& old, const Site& fresh);
 
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -12,17 +12,14 @@
 struct Admission : Attempts {
   using Attempts::Attempts;
 
-  void onArrival(const Arrival& a) {
+  void onArrival(const Arrival& a, ClassVersion c = nullptr) {
     if (messages.count(a.id)) return;
-    const auto c = std::find_if(set.classes.begin(), set.classes.end(),
-                                [&](const MessageClass& k) { return k.name == a.message_class; });
-    if (c == set.classes.end()) {
-      acts.push_back(Fail{a.id});
-      return;
-    }
+    for (const ClassVersion& k : classes)
+      if (!c && k->name == a.message_class) c = k;
+    if (!c) return acts.push_back(Fail{a.id});
     Message& m = messages[a.id];
     m.id = a.id;
-    m.cls = &*c;
+    m.cls = c;
     for (std::size_t i = 0; i < set.tenants.size(); ++i)
       if (set.tenants[i].name == a.tenant) m.tenant = static_cast<int>(i);
     if (m.tenant >= 0) count(tenant_rate[static_cast<std::size_t>(m.tenant)]);
@@ -49,14 +46,19 @@
   }
 
   // What an earlier process of this sender took on. Its attempts count as made; one whose end was not heard
-  // may have run. Guards against a second effect after a restart.
+  // may have run, or is out still. Guards against a second effect after a restart.
   void onResumed(const Resumed& r) {
-    onArrival(r.message);
+    onArrival(r.message, r.rules);
     auto it = messages.find(r.message.id);
     if (it == messages.end()) return;
     Message& m = it->second;
     for (const PastAttempt& p : r.attempts) {
       auto s = servers.find(p.endpoint);
+      if (p.out && s != servers.end()) {
+        ++s->second.out;
+        noteOut(m, s->second, ++next_call, p.sent, -1);
+        continue;
+      }
       Attempt a;
       a.server = s == servers.end() ? nullptr : &s->second;
       if (a.server) ++a.server->attempts;
@@ -65,6 +67,7 @@
       a.may_have_run = p.may_have_run;
       m.attempts.push_back(a);
     }
+    if (m.out > 0) return unhold(m, false);
     if (anySendLeft(m)) return;
     finish(m, now < m.end_at);
     forget(m);
--- a/src/decision/attempts.h
+++ b/src/decision/attempts.h
@@ -22,7 +22,7 @@
   // THE effect rule. No repeat of what may have run, but: safe ones at will; keyed ones only where and while
   // the destination drops repeats; never two out at once unless the site allows copies.
   bool maySend(const Message& m, const Server& s) const {
-    if (static_cast<int>(m.attempts.size()) >= set.max_attempts || m.streaming) return false;
+    if (static_cast<int>(m.attempts.size()) >= m.cls->max_attempts) return false;
     if (m.out > 0 && !set.may_copy) return false;
     if (m.cls->effect == Effect::safe || !mayHaveRun(m)) return true;
     if (m.cls->effect == Effect::unsafe) return false;
@@ -139,13 +139,16 @@
       charge(s.guard, apart(s) ? s.guard.limit : d.guard.limit / n, own / n);
       if (!apart(s)) charge(d.guard, d.guard.limit, own);
     }
+    noteOut(m, s, call, now, idled);
+    acts.push_back(Send{m.id, s.id, timeoutFor(m, s)});
+  }
+  void noteOut(Message& m, Server& s, std::uint64_t call, Micros sent, Micros idled) {
     ++calls[call];
     ++s.attempts;
     s.used = now;
     outs[++next_attempt] = {&m, m.attempts.size()};
-    m.attempts.push_back({&s, now, call, next_attempt, true, true, idled, false, false});
+    m.attempts.push_back({&s, sent, call, next_attempt, true, true, idled, false, false});
     ++m.out;
-    acts.push_back(Send{m.id, s.id, timeoutFor(m, s)});
   }
 
   void settle(Message& m, Attempt& a) {
@@ -294,10 +297,10 @@
   // many senders an aim later at least: they would take the place of first tries still in time, and those
   // of a clump came back as one and pushed over what returned. Also guards against limits that eat all tries.
   void again(Message& m, Server& s) {
-    if (m.held || m.out > 0 || m.streaming) return;
+    if (m.held || m.out > 0) return;
     if (now >= m.end_at || !anySendLeft(m)) return finish(m, now < m.end_at);
     const double left = static_cast<double>(m.end_at - now);
-    const int tries = set.max_attempts - static_cast<int>(m.attempts.size());
+    const int tries = m.cls->max_attempts - static_cast<int>(m.attempts.size());
     const double least = many() ? least_aim + comeBack(scope(s), *m.dest) : usualLatency(s);
     hold(m, now + static_cast<Micros>(std::max(least, left * std::exp2(-std::min(tries, 60)))));
   }
@@ -312,12 +315,9 @@
 
   void finish(Message& m, bool worth_a_return) {
     if (m.ended) return;
-    if (worth_a_return && mayRefuse(m)) {
-      const Micros pause = set.told_pause ? std::min(set.max_pause, drainTime(*m.dest)) : 0;
-      acts.push_back(Refuse{m.id, pause});
-    } else {
-      acts.push_back(Fail{m.id});
-    }
+    const Micros pause = set.told_pause ? std::min(set.max_pause, drainTime(*m.dest)) : 0;
+    if (worth_a_return && mayRefuse(m)) acts.push_back(Refuse{m.id, pause});
+    else acts.push_back(Fail{m.id});
     close(m);
   }
 
--- a/src/decision/check.h
+++ b/src/decision/check.h
@@ -1,6 +1,7 @@
 // grademux: the check of the decision module's settings: errors name the field.
 #pragma once
 
+#include <set>
 #include <stdexcept>
 #include <string>
 
@@ -14,7 +15,9 @@
 
 inline void validate(const Settings& s) {
   require(!s.classes.empty(), "classes");
+  std::set<std::string> names;
   for (const auto& c : s.classes) {
+    require(names.insert(c.name).second, "classes.name: a class stands there twice");
     require(c.aim > 0, "classes.aim");
     require(c.deadline >= c.aim, "classes.deadline");
     require(c.memory >= 0, "classes.memory");
--- a/src/decision/logic.cpp
+++ b/src/decision/logic.cpp
@@ -1,14 +1,14 @@
 // grademux: THE decision module. Its interface stands in include/grademux/sender.h, its sections in the
 // headers beside this file; docs/design.md tells what each does. Here: the turn.
 #include "check.h"
-#include "recall.h"
+#include "retune.h"
 
 namespace grademux {
 
 namespace decision {
 
-struct Turn : Recall {
-  using Recall::Recall;
+struct Turn : Retune {
+  using Retune::Retune;
 
   void on(const Arrival& e) { onArrival(e); }
   void on(const Resumed& e) { onResumed(e); }
@@ -20,10 +20,7 @@
   void on(const Lesson& e) { onLesson(e); }
   void on(const Experience& e) { onExperience(e); }
   void on(const Survey& e) { onSurvey(e); }
-  void on(const Started& e) {
-    auto it = messages.find(e.id);
-    if (it != messages.end()) it->second.streaming = true;
-  }
+  void on(const Retuned& e) { onRetuned(e); }
   void on(const Gone& e) {
     auto it = messages.find(e.id);
     if (it == messages.end()) return;
--- a/src/decision/state.h
+++ b/src/decision/state.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "classes.h"
 #include "containers.h"
 #include "grademux/sender.h"
 
@@ -72,13 +73,13 @@
 
 struct Message {
   std::string id, key;
-  const MessageClass* cls = nullptr;
+  ClassVersion cls;
   int tenant = -1;
   Dest* dest = nullptr;
   Micros handed_in = 0, end_at = 0, not_before = 0, aim = 0;
   std::uint64_t order = 0, held_as = 0;  // when it came, and came to be held, among all
   std::vector<Attempt> attempts;
-  bool held = false, ended = false, streaming = false;
+  bool held = false, ended = false;
   int out = 0;
 };
 
@@ -110,6 +111,7 @@
 
 struct State {
   Settings set;
+  std::vector<ClassVersion> classes;  // of the settings
   std::mt19937_64 random;
   Micros now = 0;
   std::vector<Action> acts;
@@ -138,14 +140,15 @@
   Micros ask_at = 0;
   Micros stop_at = kNever;  // no outcome is heard later than this
   int ask_failures = 0;
-  double common_slow = 1, least_aim = 1e300;
+  double common_slow = 1, least_aim = 0;
   double dead_score = 0;  // signs of connections that die idle, decayed; the shortest that died
   Micros dead_least = kNever, dead_at = -kNever;
   Kind plain_kind;
 
   State(Settings s, std::uint64_t seed) : set(std::move(s)), random(seed) {
     tenant_rate.resize(set.tenants.size());
-    for (const auto& c : set.classes) least_aim = std::min(least_aim, static_cast<double>(c.aim));
+    classes = classesOf(set);
+    least_aim = leastAim(set);
     ask_at = set.list == ListMode::ask ? 0 : kNever;
   }
 
--- a/src/doors/door.h
+++ b/src/doors/door.h
@@ -8,25 +8,37 @@
 #include <memory>
 
 #include "../core/message.h"
+#include "../operate/state.h"
 
 namespace grademux {
 
 enum class Leaving {
+  standby,   // the operators send clients away: newcomers are served, and it may be taken back
   stopping,  // the process ends: newcomers are still answered
+  replaced,  // another process takes the address over: newcomers wait for it, and it may be taken back
   removed    // only this door ends: no newcomers
 };
 
+// In standby connections end between requests, idle ones spread over kSpread, so that a fleet's clients don't
+// all come back in one instant; from kSentAway on those too whose client asks on and on.
+constexpr Micros kSpread = 1'000'000, kSentAway = 2'500'000;
+
 class Door {
  public:
   // Closes whatever is still open without an answer; callers wait for open() to be 0, or for their patience
   // to end, first. The constructor of each door binds its address and throws std::exception when it can't;
   // nothing is accepted before start().
   virtual ~Door() = default;
-  // Called once, when the core is ready. Throws std::exception when it can't listen.
-  virtual void start(Intake& core) = 0;
-  // Called when the door is to end, perhaps twice (removed, then stopping). Connections between requests are
-  // closed; requests that are open get their answers and then the end of their connection.
+  // Called once, when the core is ready. Throws std::exception when it can't listen. `state` is what the door
+  // asks whether clients are sent away; it outlives the door.
+  virtual void start(Intake& core, const operate::State& state) = 0;
+  // Called when clients are to leave, perhaps several times (standby, then stopping), after the state says
+  // so. Connections between requests are closed; requests that are open get their answers and then the end of
+  // their connection. What a state took back needs no call: from then on connections are kept again.
   virtual void drain(Leaving how) = 0;
+  // The other process did not come to own the address: newcomers are served again. Called after
+  // drain(replaced) alone.
+  virtual void resume() = 0;
   // Requests that have been read and whose answer is not yet written.
   virtual std::size_t open() const = 0;
   // Connections, with or without a request.
--- a/src/doors/http/server.cpp
+++ b/src/doors/http/server.cpp
@@ -254,7 +254,7 @@
     const auto slot = place();
     placed = false;
     used = true;
-    const bool keep = parser->keep_alive() && !door.draining_;
+    const bool keep = parser->keep_alive() && !door.away();
     if (!keep) last = true;
     slot->close = !keep;
     if (batch) {
@@ -292,7 +292,7 @@
     auto read = readMessage(id, fields, std::move(body));
     body.clear();
     if (const auto* wrong = std::get_if<Problem>(&read)) return answer(slot, problemOf(*wrong, id));
-    if (door.draining_) return answer(slot, draining(id));
+    if (door.refuses()) return answer(slot, draining(id));
     Micros patience = 0;
     for (const auto& [name, value] : fields)
       if (name == "prefer")
@@ -302,7 +302,7 @@
     s.door = "http";
     door.core_->submit(std::move(s), [self = shared_from_this(), slot, id, patience](const Answer& a) {
       if (!self->open) return;
-      if (a.kind != Answer::Kind::accepted || a.end || patience == 0 || self->door.draining_)
+      if (a.kind != Answer::Kind::accepted || a.end || patience == 0 || self->door.away())
         return self->answer(slot, answerOf(id, a));
       self->waitForEnd(slot, id, patience);
     });
@@ -328,7 +328,7 @@
     batch = std::make_shared<Batch>();
     batch->slot = place();
     batch->slot->out =
-        chunkedHead("application/x-ndjson", door.draining_ || !parser->keep_alive(), unixNow() / 1'000'000);
+        chunkedHead("application/x-ndjson", door.away() || !parser->keep_alive(), unixNow() / 1'000'000);
     batch->line_since = monotonicNow();
   }
 
@@ -367,7 +367,7 @@
     auto read = readLine(text, id);
     if (!usableToken(id)) id.clear();
     if (const auto* wrong = std::get_if<Problem>(&read)) return done(*line, id, problemOf(*wrong));
-    if (door.draining_) return done(*line, id, draining(id));
+    if (door.refuses()) return done(*line, id, draining(id));
     auto& s = std::get<Submission>(read);
     s.door = "http";
     const auto shared = b.shared_from_this();
@@ -451,7 +451,7 @@
   void render(const std::shared_ptr<Slot>& slot, const Response& r) {
     const bool useless = r.status / 100 == 4 && r.status != 429;
     faults = useless ? faults + 1 : 0;
-    if (faults >= kMostFaults || (door.draining_ && slot == slots.back())) {
+    if (faults >= kMostFaults || (door.away() && slot == slots.back())) {
       slot->close = slot == slots.back();
       last = last || slot->close;
     }
@@ -507,7 +507,7 @@
     if (slots.empty()) {
       if (ended) return close();
       error_code e;
-      if (door.draining_ && !parser && in.empty() && socket.available(e) == 0) return close();
+      if (door.away() && !parser && in.empty() && socket.available(e) == 0) return close();
       if (!parser) since = monotonicNow();
     }
     go();
@@ -543,6 +543,13 @@
       if (slot) tellOpen(slot);
     }
     if (!open || last) return;
+    if (door.away()) {
+      error_code e;
+      if (idle() && now >= leavesAt() && socket.available(e) == 0) return close();
+      // A batch that goes on and on: what was read of it keeps its answers.
+      if (batch && !batch->whole && now - door.away_since_ >= kSentAway)
+        return spoil({503, "draining", "hand the rest in elsewhere, or here again later"});
+    }
     if (idle()) {
       if (now - since >= (used ? door.limits_.idle : kFirstByte)) close();
       return;
@@ -563,9 +570,15 @@
     }
   }
 
-  void drainNow() {
+  // In standby: each idle connection has a moment of its own.
+  Micros leavesAt() const {
+    const auto part = static_cast<Micros>(reinterpret_cast<std::uintptr_t>(this) / 64 * 2654435761u % 1024);
+    return std::max(since, door.away_since_) + part * kSpread / 1024;
+  }
+
+  void drainNow(bool idle_too) {
     error_code e;
-    if (idle() && in.empty() && socket.available(e) == 0) return close();
+    if (idle_too && idle() && in.empty() && socket.available(e) == 0) return close();
     for (const auto& w : waits)  // the message is taken on, and outlasts this process
       if (const auto slot = w.lock()) tellOpen(slot);
     waits.clear();
@@ -596,16 +609,20 @@
   for (const auto& s : all) s->close();
 }
 
-void HttpDoor::start(Intake& core) {
+void HttpDoor::start(Intake& core, const operate::State& state) {
   core_ = &core;
+  state_ = &state;
   acceptor_.listen();
   accept();
   sweep();
 }
 
 void HttpDoor::accept() {
+  if (paused_ || acceptor_busy_) return;
   if (!makeRoom()) return retryAccept();  // all have a request open: newcomers wait in the backlog
+  acceptor_busy_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
+    acceptor_busy_ = false;
     if (e == asio::error::operation_aborted) return;
     if (e) return retryAccept();  // out of descriptors, say: try again soon rather than spin
     error_code ignored;
@@ -648,7 +665,13 @@
 }
 
 void HttpDoor::drain(Leaving how) {
-  draining_ = true;
+  away_since_ = monotonicNow();
+  if (how == Leaving::replaced) {
+    paused_ = true;
+    error_code ignored;
+    acceptor_.cancel(ignored);
+    pause_.cancel();
+  }
   if (how == Leaving::removed) {
     removed_ = true;
     error_code ignored;
@@ -656,7 +679,12 @@
     pause_.cancel();
   }
   const auto all = sessions_;
-  for (const auto& s : all) s->drainNow();
+  for (const auto& s : all) s->drainNow(how != Leaving::standby);
+}
+
+void HttpDoor::resume() {
+  paused_ = false;
+  accept();
 }
 
 }  // namespace grademux
--- a/src/doors/http/server.h
+++ b/src/doors/http/server.h
@@ -29,8 +29,9 @@
   HttpDoor(const HttpDoor&) = delete;
   HttpDoor& operator=(const HttpDoor&) = delete;
 
-  void start(Intake& core) override;
+  void start(Intake& core, const operate::State& state) override;
   void drain(Leaving how) override;
+  void resume() override;
   std::size_t open() const override { return open_; }
   std::size_t connections() const override { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
@@ -42,6 +43,8 @@
   void retryAccept();
   bool makeRoom();
   void sweep();
+  bool away() const { return removed_ || paused_ || state_->sendsAway(); }
+  bool refuses() const { return removed_ || state_->stopping(); }  // what has not begun here begins elsewhere
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -49,10 +52,13 @@
   boost::asio::steady_timer pause_, sweeper_;
   Limits limits_;
   Intake* core_ = nullptr;
+  const operate::State* state_ = nullptr;
+  Micros away_since_ = 0;  // drained last
   std::set<std::shared_ptr<Session>> sessions_;
   std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
   std::size_t open_ = 0;
-  bool draining_ = false, removed_ = false;
+  bool removed_ = false, acceptor_busy_ = false;
+  bool paused_ = false;  // another process takes the address over
 };
 
 }  // namespace grademux
--- a/src/doors/listener.h
+++ b/src/doors/listener.h
@@ -10,4 +10,10 @@
 // the address.
 void bindDoor(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address);
 
+// Takes a listening socket that the process was started with, in place of binding. It is another's, too: it
+// is never shut down here, and closing it ends only this process's part in it. Throws std::runtime_error
+// saying what is wrong if the descriptor is not open, no TCP socket, not listening, or of another address.
+void takeDoor(boost::asio::ip::tcp::acceptor& acceptor, int passed,
+              const boost::asio::ip::tcp::endpoint& address);
+
 }  // namespace grademux
--- a/src/doors/resp/commands.cpp
+++ b/src/doors/resp/commands.cpp
@@ -46,7 +46,9 @@
 constexpr const char* kBadName = "a client's name has 64 printable characters without spaces at most";
 constexpr const char* kNoPassword = "no password is set at this door";
 
-RespCommand ping(const Words& w, RespClient&, const RespFacts&) {
+RespCommand ping(const Words& w, RespClient&, const RespFacts& f) {
+  // No word of its own for errors that are the client's: this one is no fault.
+  if (f.sends_away) return replied(fault("AWAY this sender sends clients away"));
   return replied(w.size() > 1 ? bulk(w[1]) : simple("PONG"));
 }
 RespCommand echo(const Words& w, RespClient&, const RespFacts&) { return replied(bulk(w[1])); }
--- a/src/doors/resp/commands.h
+++ b/src/doors/resp/commands.h
@@ -21,7 +21,8 @@
 };
 struct RespFacts {
   std::size_t connections = 0;
-  Micros up = 0;  // since the door was opened
+  Micros up = 0;            // since the door was opened
+  bool sends_away = false;  // PING says no: clients are to go elsewhere
 };
 
 struct RespCommand {
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -25,12 +25,13 @@
 // A connection is owed an error or its end within 3 s. Limits on: the first byte, a whole request from its
 // first byte on, a reply's way out, and the discard after an error.
 constexpr Micros kFirstByte = 2'000'000, kWhole = 2'000'000, kWrite = 2'000'000, kLeave = 500'000;
-constexpr Micros kSweep = 100'000;       // how often the limits are looked at
-constexpr Micros kMayClose = 2'000'000;  // without an open request for so long, a client expects the end
-constexpr Micros kKeep = 300'000'000;    // while few are open, a connection that asks seldom is let be
-constexpr std::size_t kCrowd = 8;        // many are open once they take more than the table's part of this
-constexpr Micros kNewcomer = 200'000;    // one that wants something has said so by then
-constexpr int kMostFaults = 12;          // useless requests in a row, answered ever more slowly
+constexpr Micros kLastPartial = 3'500'000;  // since clients are sent away: no half request holds on
+constexpr Micros kSweep = 100'000;          // how often the limits are looked at
+constexpr Micros kMayClose = 2'000'000;     // without an open request for so long, a client expects the end
+constexpr Micros kKeep = 300'000'000;       // while few are open, a connection that asks seldom is let be
+constexpr std::size_t kCrowd = 8;           // many are open once they take more than the table's part of this
+constexpr Micros kNewcomer = 200'000;       // one that wants something has said so by then
+constexpr int kMostFaults = 12;             // useless requests in a row, answered ever more slowly
 constexpr Micros kRest = 10'000, kMostRest = 320'000;
 
 bool wholeNumber(const std::string& s, std::int64_t& out) {
@@ -163,8 +164,8 @@
     }
     in.erase(0, used);
     if (in.empty()) in.shrink_to_fit();
-    RespCommand command =
-        readCommand(words, client, {clients.sessions_.size(), monotonicNow() - clients.since_});
+    RespCommand command = readCommand(
+        words, client, {clients.sessions_.size(), monotonicNow() - clients.since_, clients.away()});
     switch (command.does) {
       case RespCommand::Does::put:
         return put(words);
@@ -189,7 +190,7 @@
   // Answers once the message has ended, isn't known, the time is over, or the door drains.
   void lookForEnd(Micros now) {
     const Status s = clients.core_->status(awaited);
-    if (s.state == Status::State::open && now - since < patience && !clients.draining_) return;
+    if (s.state == Status::State::open && now - since < patience && !clients.away()) return;
     --clients.unanswered_;
     answer(statusReply(s, client.protocol));
   }
@@ -232,7 +233,10 @@
   void answered() {
     if (closing) return hangUp();
     error_code e;
-    if (clients.draining_ && in.empty() && socket.available(e) == 0) return close();
+    if (clients.away() && in.empty() && socket.available(e) == 0) return close();
+    // Guards against clients that ask on and on over one connection and are never sent away. What they have
+    // sent and was not read is theirs to send again.
+    if (clients.away() && monotonicNow() - clients.away_since_ >= kSentAway) return hangUp();
     if (faults > 1) {
       enter(Phase::resting);
       rest.expires_after(std::chrono::microseconds(std::min(kMostRest, kRest << (faults - 2))));
@@ -263,10 +267,15 @@
     const Micros spent = now - since;
     switch (phase) {
       case Phase::idle:
+        if (clients.away() && now >= leavesAt()) {
+          error_code e;
+          if (socket.available(e) == 0) close();
+          break;
+        }
         if (spent >= (!useful && faults == 0 ? kFirstByte : clients.crowded() ? kMayClose : kKeep)) close();
         break;
       case Phase::partial:
-        if (spent < kWhole) break;
+        if (spent < kWhole && !(clients.away() && now - clients.away_since_ >= kLastPartial)) break;
         socket.cancel();
         closing = true;
         answer("-ERR the request did not come to its end\r\n");
@@ -286,6 +295,12 @@
     }
   }
 
+  // In standby: each idle connection has a moment of its own.
+  Micros leavesAt() const {
+    const auto part = static_cast<Micros>(static_cast<std::uint64_t>(client.id) * 2654435761u % 1024);
+    return std::max(since, clients.away_since_) + part * kSpread / 1024;
+  }
+
   // How gladly it makes room for another, the lowest first; none with a request open.
   std::pair<int, Micros> rank(Micros now) const {
     const Micros spent = now - since;
@@ -310,16 +325,19 @@
   }
 };
 
-RespDoor::RespDoor(asio::io_context& io, const tcp::endpoint& listen, Limits limits)
+RespDoor::RespDoor(asio::io_context& io, const tcp::endpoint& listen, Limits limits, int passed)
     : io_(io), acceptor_(io), pause_(io), sweeper_(io), limits_(limits), piece_(kPiece) {
-  bindDoor(acceptor_, listen);
+  passed_ = passed >= 0;
+  if (passed_) takeDoor(acceptor_, passed, listen);
+  else bindDoor(acceptor_, listen);
   acceptor_address_ = acceptor_.local_endpoint();
 }
 
-void RespDoor::start(Intake& core) {
+void RespDoor::start(Intake& core, const operate::State& state) {
   core_ = &core;
+  state_ = &state;
   since_ = monotonicNow();
-  acceptor_.listen();
+  if (!passed_) acceptor_.listen();
   accept();
   sweep();
 }
@@ -369,7 +387,7 @@
 bool RespDoor::crowded() const { return kCrowd * sessions_.size() > limits_.all; }
 
 void RespDoor::accept() {
-  if (accepting_) return;
+  if (accepting_ || paused_) return;
   accepting_ = true;
   acceptor_.async_accept([this](error_code e, tcp::socket s) {
     accepting_ = false;
@@ -415,7 +433,20 @@
 void RespDoor::ended(const std::shared_ptr<Session>& s) { sessions_.erase(s); }
 
 void RespDoor::drain(Leaving how) {
-  draining_ = true;
+  away_since_ = monotonicNow();
+  if (how == Leaving::standby) {
+    const auto waiting = sessions_;
+    for (const auto& s : waiting)
+      if (s->phase == Session::Phase::waiting) s->lookForEnd(away_since_);
+    return;
+  }
+  if (how == Leaving::replaced) {
+    paused_ = true;
+    error_code ignored;
+    acceptor_.cancel(ignored);
+    pause_.cancel();
+    if (newcomer_) admit();
+  }
   if (how == Leaving::removed) {
     removed_ = true;
     error_code ignored;
@@ -431,4 +462,9 @@
   }
 }
 
+void RespDoor::resume() {
+  paused_ = false;
+  accept();
+}
+
 }  // namespace grademux
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -23,13 +23,16 @@
   };
 
   // Binds `listen`; throws std::runtime_error when it can't.
-  RespDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
+  // `passed`: a listening socket at that address which the process was started with; -1: there is none.
+  RespDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
+           int passed = -1);
   ~RespDoor() override;
   RespDoor(const RespDoor&) = delete;
   RespDoor& operator=(const RespDoor&) = delete;
 
-  void start(Intake& core) override;
+  void start(Intake& core, const operate::State& state) override;
   void drain(Leaving how) override;
+  void resume() override;
   std::size_t open() const override { return unanswered_; }
   std::size_t connections() const override { return sessions_.size(); }
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
@@ -40,6 +43,7 @@
   void accept();
   bool makeRoom();
   bool crowded() const;
+  bool away() const { return removed_ || paused_ || state_->sendsAway(); }
   void limitProven();
   void admit();
   void retryAccept();
@@ -52,13 +56,17 @@
   boost::asio::steady_timer pause_, sweeper_;
   Limits limits_;
   Intake* core_ = nullptr;
+  const operate::State* state_ = nullptr;
   std::set<std::shared_ptr<Session>> sessions_;
   std::shared_ptr<Session> newcomer_;  // accepted, waits for room
   std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
   std::size_t unanswered_ = 0;
   std::int64_t next_id_ = 0;  // of connections
   Micros since_ = 0;          // started
-  bool accepting_ = false, draining_ = false, removed_ = false;
+  Micros away_since_ = 0;     // drained last
+  bool accepting_ = false, removed_ = false;
+  bool paused_ = false;  // another process takes the address over
+  bool passed_ = false;  // the listening socket
 };
 
 }  // namespace grademux
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -2,6 +2,7 @@
 #include "address.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <sstream>
 #include <stdexcept>
 
 namespace grademux {
@@ -25,4 +26,10 @@
   throw std::invalid_argument("not an address with a port: " + address);
 }
 
+std::string addressText(const tcp::endpoint& address) {
+  std::ostringstream out;
+  out << address;
+  return out.str();
+}
+
 }  // namespace grademux
--- /dev/null
+++ b/src/operate/door.h
@@ -0,0 +1,47 @@
+// grademux: the operators' door: one line to a connection, answered by one line that begins with ACK or NAK.
+// Answers are owed in 1 s whatever else goes on, so its connections have descriptors of their own, and
+// callers without a whole line hold up nobody: they are bounded in number and time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <memory>
+
+#include "state.h"
+
+namespace grademux::operate {
+
+constexpr std::size_t kCallers = 48;  // connections at once, and the descriptors that are set aside for them
+
+class OperatorsDoor {
+ public:
+  using Handle = std::function<Verdict(Call)>;  // on the loop thread
+
+  // Binds and listens; throws std::runtime_error naming the address when it can't.
+  OperatorsDoor(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Handle handle);
+  ~OperatorsDoor();
+  OperatorsDoor(const OperatorsDoor&) = delete;
+  OperatorsDoor& operator=(const OperatorsDoor&) = delete;
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  std::size_t callers() const { return callers_.size(); }
+
+ private:
+  struct Caller;
+  void accept();
+  void admit(boost::asio::ip::tcp::socket socket);
+  void sweep();
+
+  boost::asio::io_context& io_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_, sweeper_;
+  Handle handle_;
+  std::list<std::shared_ptr<Caller>> callers_;  // oldest first
+  bool sweeping_ = false;
+};
+
+}  // namespace grademux::operate
--- a/src/replay/losses.cpp
+++ b/src/replay/losses.cpp
@@ -148,6 +148,7 @@
     if (!a) return;
     for (const MessageClass& c : settings().classes)
       if (c.name == e.message.message_class) a->cls = &c;
+    if (e.rules) a->cls = versions_.emplace_back(e.rules).get();
     spend(*a, Part::away, now_);
     a->tried = a->tried || !e.attempts.empty();
     a->calls.resize(e.attempts.size());
@@ -155,6 +156,7 @@
     look(*a);
   }
   void on(const Gone& e) { open_.erase(e.id); }
+  void on(const Retuned& e) { settings_.push_back(std::make_unique<Settings>(e.settings)); }
   void on(const Outcome& e) {
     Account* a = find(e.id);
     if (!a || e.attempt < 0 || static_cast<std::size_t>(e.attempt) >= a->calls.size()) return;
@@ -201,6 +203,7 @@
 
   Losses& l_;
   std::vector<std::unique_ptr<Settings>> settings_;
+  std::vector<ClassVersion> versions_;  // of resumed messages
   std::unordered_map<std::string, Account> open_;
   std::unordered_map<std::int64_t, Ailing> ailing_;
   Micros now_ = 0, last_ = 0, begun_ = -1;
--- a/src/replay/stream_codec.cpp
+++ b/src/replay/stream_codec.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr const char* kEvents[] = {"arrival", "resumed", "ailment", "stopping", "gone", "started",
-                                   "outcome", "list",    "wake",    "lesson",   "pool", "survey"};
+constexpr const char* kEvents[] = {"arrival", "resumed", "ailment", "stopping", "gone",   "outcome",
+                                   "list",    "wake",    "lesson",  "pool",     "survey", "retuned"};
 constexpr const char* kActions[] = {"send",       "cancel", "refuse",  "fail",   "watch",
                                     "close_idle", "wake",   "ailment", "lesson", "surveyed"};
 static_assert(std::size(kEvents) == std::variant_size_v<Event>);
@@ -39,6 +39,7 @@
   v("group", x.group);
   v("memory", x.memory);
   v("ordered", x.ordered);
+  v.later("max_attempts", x.max_attempts);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(Tenant) {
@@ -112,11 +113,13 @@
   v("endpoint", x.endpoint);
   v("sent", x.sent);
   v("may_have_run", x.may_have_run);
+  v.later("out", x.out);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(Resumed) {
   v("message", x.message);
   v("attempts", x.attempts);
+  v.later("rules", x.rules);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(Ailment) {
@@ -166,10 +169,7 @@
 GRADEMUX_END;
 GRADEMUX_FIELDS(Gone) { v("id", x.id); }
 GRADEMUX_END;
-GRADEMUX_FIELDS(Started) {
-  v("id", x.id);
-  v("attempt", x.attempt);
-}
+GRADEMUX_FIELDS(Retuned) { v("settings", x.settings); }
 GRADEMUX_END;
 GRADEMUX_FIELDS(Outcome) {
   v("id", x.id);
@@ -235,6 +235,7 @@
 json encode(const std::vector<T>& all);
 template <class T>
 json encode(const std::optional<T>& x);
+json encode(const ClassVersion& x);
 
 struct Encoder {
   json out = json::object();
@@ -259,6 +260,7 @@
 json encode(const std::optional<T>& x) {
   return x ? encode(*x) : json();
 }
+json encode(const ClassVersion& x) { return x ? encode(*x) : json(); }
 template <class T>
 json encode(const T& x) {
   if constexpr (std::is_enum_v<T>) {
@@ -280,6 +282,7 @@
 void decode(const json& in, const char* name, std::vector<T>& all);
 template <class T>
 void decode(const json& in, const char* name, std::optional<T>& x);
+void decode(const json& in, const char* name, ClassVersion& x);
 
 struct Decoder {
   const json& in;
@@ -305,6 +308,11 @@
   x.reset();
   if (!in.is_null()) decode(in, name, x.emplace());
 }
+void decode(const json& in, const char* name, ClassVersion& x) {
+  MessageClass c;
+  decode(in, name, c);
+  x = std::make_shared<const MessageClass>(std::move(c));
+}
 template <class T>
 void decode(const json& in, const char* name, T& x) {
   if constexpr (std::is_same_v<T, bool>) {
--- a/src/sim/simhost.cpp
+++ b/src/sim/simhost.cpp
@@ -81,7 +81,8 @@
     } else if (name == "CheckResult") {
       text(f, "Endpoint");  // nothing here asks for one
     } else if (name == "Established") {
-      i.events.push_back(Started{text(f, "OpId"), static_cast<int>(integer(f, "Attempt"))});
+      text(f, "OpId");  // no class here answers in a stream
+      integer(f, "Attempt");
     } else if (name == "Left") {
       i.events.push_back(Gone{text(f, "OpId")});
     } else if (name == "Reply") {
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -345,6 +345,18 @@
     }
   }
   bool ended() { return line().empty(); }
+  // All that comes until the connection ends.
+  std::string rest() {
+    for (;;) {
+      pollfd p{fd_, POLLIN, 0};
+      char piece[4096];
+      if (::poll(&p, 1, static_cast<int>(std::chrono::milliseconds(kLong).count())) <= 0) break;
+      const ssize_t n = ::recv(fd_, piece, sizeof piece, 0);
+      if (n <= 0) break;
+      in_.append(piece, static_cast<std::size_t>(n));
+    }
+    return std::exchange(in_, {});
+  }
   static std::string request(const std::vector<std::string>& words) {
     std::string out = "*" + std::to_string(words.size()) + "\r\n";
     for (const auto& w : words) out += "$" + std::to_string(w.size()) + "\r\n" + w + "\r\n";
