--- a/src/carriers/http/http_carrier.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -163,7 +163,9 @@
 }
 
 void HttpCarrier::report(const CallId& id, Result result, Micros began) {
+  reporting_.insert(id);
   asio::post(io_, [this, id, result, began] {
+    reporting_.erase(id);
     Outcome o;
     o.id = id.first;
     o.attempt = id.second;
@@ -182,6 +184,17 @@
   report({id, attempt}, Result::cancelled, began);
 }
 
+std::vector<std::pair<std::string, int>> HttpCarrier::outCalls() const {
+  std::vector<CallId> all(reporting_.begin(), reporting_.end());
+  for (const auto& [id, call] : calls_) all.push_back(id);
+  return all;
+}
+
+void HttpCarrier::closeAllIdle() {
+  idle_.clear();
+  idle_count_ = 0;
+}
+
 void HttpCarrier::closeIdle(const std::string& endpoint) {
   auto it = idle_.find(endpoint);
   if (it == idle_.end()) return;
--- a/src/carriers/http/http_carrier.h
+++ b/src/carriers/http/http_carrier.h
@@ -7,6 +7,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <utility>
+#include <vector>
 
 #include "../../net/http_connection.h"
 #include "../carrier.h"
@@ -26,7 +29,10 @@
   void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) override;
   void cancel(const std::string& id, int attempt) override;
   void closeIdle(const std::string& endpoint) override;
-  std::size_t out() const override { return calls_.size(); }
+  std::size_t out() const override { return calls_.size() + reporting_.size(); }
+  // Those that have not been reported, by message and attempt.
+  std::vector<std::pair<std::string, int>> outCalls() const;
+  void closeAllIdle();
   std::size_t idle() const { return idle_count_; }
   void setLimits(Limits limits) {
     limits_ = limits;
@@ -56,6 +62,7 @@
   std::map<std::string, std::deque<Idle>> idle_;  // by endpoint, the freshest last
   std::size_t idle_count_ = 0;
   std::map<CallId, Call> calls_;
+  std::set<CallId> reporting_;  // over, and reported from the loop in a moment
   boost::asio::steady_timer sweeper_;
   bool sweeping_ = false;
 };
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t kListSlice = 1000;                    // changes of the list in one turn
 constexpr Micros kAilmentAge = 30 * 24LL * 3600 * 1000000;  // health not heard of for so long is dropped
 constexpr Micros kWakeGrain = 1000;                         // wakes this close are one
+constexpr Micros kHandover = 100'000;  // a client comes back after this while another process takes over
 
 // Moments of one clock as the other has them; what is unknown stays so.
 void shift(Micros& moment, Micros by) {
@@ -53,7 +54,7 @@
   for (const MessageClass& c : settings_.classes) longest_ = std::max(longest_, c.deadline);
 }
 
-void Host::recover(const json& known, const knowledge::Book& learned) {
+void Host::recover(const json& known, const knowledge::Book& learned, const std::set<CallId>& out) {
   const Journal::Recovered& r = journal_.recovered();
   if (r.damaged > 0) log::write(log::Event::journal_damaged, {{"stretches", r.damaged}});
   if (r.torn) log::write(log::Event::journal_torn);
@@ -96,8 +97,11 @@
     m.message.repeat = true;
     m.rules = e.message.rules;
     if (m.rules) longest_ = std::max(longest_, m.rules->deadline);
-    for (const JournaledAttempt& a : e.attempts)
-      m.attempts.push_back({a.endpoint, a.sent + ahead, !a.never_ran, false});
+    for (const JournaledAttempt& a : e.attempts) {
+      const int attempt = static_cast<int>(m.attempts.size());
+      m.attempts.push_back(
+          {a.endpoint, a.sent + ahead, !a.never_ran, out.count({e.message.id, attempt}) > 0});
+    }
     events_.push_back(std::move(m));
   }
   if (!r.entries.empty()) log::write(log::Event::journal_resumed, {{"messages", r.entries.size()}});
@@ -152,6 +156,7 @@
 
 std::int64_t Host::list(ListAnswer answer) {
   list_.take(std::move(answer));
+  if (suspended_) return list_.index();
   if (!telling_ && list_.pending()) tellList(kListSlice, ListKind::delta);
   return list_.index();
 }
@@ -191,6 +196,7 @@
 }
 
 void Host::submit(Submission s, Reply reply) {
+  if (suspended_) return reply(Answer::refused(kHandover));
   if (!s.partner.empty()) return reply(Answer::rejected("unknown-destination", "unknown partner"));
   const TakenOn& m = s.message;
   const auto cls = std::find_if(classes_.begin(), classes_.end(),
@@ -290,22 +296,39 @@
   add(Retuned{settings_});
 }
 
+void Host::suspend() {
+  if (turn_due_ || !events_.empty()) turn();
+  if (!events_.empty()) turn();  // calls that could not be written, say
+  suspended_ = true;
+  turn_timer_.cancel();
+  wake_timer_.cancel();
+  journal_.release();
+}
+
+void Host::resume() {
+  suspended_ = false;
+  turn_due_ = false;
+  add(Wake{});
+  if (!telling_ && list_.pending()) tellList(kListSlice, ListKind::delta);
+  wake();
+}
+
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
 void Host::add(Event e) {
   events_.push_back(std::move(e));
-  if (turn_due_) return;
+  if (turn_due_ || suspended_) return;
   turn_due_ = true;
   const Micros due = last_turn_ + settings_.tick - monotonicNow();
   if (due <= 0) {
     asio::post(io_, [this] {
-      if (turn_due_) turn();
+      if (turn_due_ && !suspended_) turn();
     });
     return;
   }
   turn_timer_.expires_after(std::chrono::microseconds(due));
   turn_timer_.async_wait([this](const boost::system::error_code& e2) {
-    if (!e2 && turn_due_) turn();
+    if (!e2 && turn_due_ && !suspended_) turn();
   });
 }
 
@@ -458,10 +481,10 @@
 }
 
 void Host::wake() {
-  if (wakes_.empty()) return;
+  if (wakes_.empty() || suspended_) return;
   wake_timer_.expires_after(std::chrono::microseconds(std::max<Micros>(0, *wakes_.begin() - monotonicNow())));
   wake_timer_.async_wait([this](const boost::system::error_code& e) {
-    if (e) return;
+    if (e || suspended_) return;
     const Micros now = monotonicNow();
     bool due = false;
     while (!wakes_.empty() && *wakes_.begin() <= now) {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -29,7 +29,14 @@
 
   // Takes over what the journal, the configuration and an earlier process's book know, each as far as it is
   // still trusted: before clients are served.
-  void recover(const json& known, const knowledge::Book& learned = {});
+  // `out`: attempts whose outcome is still to come from the earlier process.
+  using CallId = std::pair<std::string, int>;  // a message's id, and which of its attempts
+  void recover(const json& known, const knowledge::Book& learned = {}, const std::set<CallId>& out = {});
+  // This process decides no more: what waits has its last turn, and the journal is given up. What comes later
+  // is refused, or kept for resume().
+  void suspend();
+  void resume();  // the journal was taken back
+  bool suspended() const { return suspended_; }
   // What the module has learned, in Unix time and with the addresses of endpoints, of `most` destinations
   // above `after`: in one of the next turns. One survey at a time.
   using Learned = std::function<void(std::vector<knowledge::Known>, const Surveyed&)>;
@@ -109,7 +116,7 @@
   std::set<Micros> wakes_;
   boost::asio::steady_timer turn_timer_, wake_timer_;
   Micros last_turn_ = INT64_MIN / 4;
-  bool turn_due_ = false;
+  bool turn_due_ = false, suspended_ = false;
 };
 
 }  // namespace grademux
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -41,7 +41,8 @@
   kListed = 'D',  // its version, 1 if it begins anew, then name and entry of
                   // what has changed
   kAiling = 'H',
-  kRules = 'C'  // a version of a class, and the number by which messages name it
+  kEpoch = 'G',  // another process owns the journal from here on
+  kRules = 'C'   // a version of a class, and the number by which messages name it
 };
 
 std::uint32_t crcOf(const char* data, std::size_t size) {
@@ -135,6 +136,7 @@
   return w;
 }
 
+std::string epochPayload(std::int64_t epoch) { return Writer(kEpoch).number(epoch).out(); }
 std::int64_t bitsOf(double v) {
   std::int64_t bits;
   static_assert(sizeof bits == sizeof v);
@@ -282,12 +284,32 @@
   for (const auto& [name, entry] : list_) recovered_.list.push_back(entry);
   recovered_.list_index = list_index_;
   for (const auto& [key, a] : ailments_) recovered_.ailments.push_back(a);
-  if (recovered_.damaged > 0) compact();
+  ++epoch_;
+  if (recovered_.damaged > 0 && compact()) return;
+  frame(buffer_, epochPayload(epoch_));
+  flush();  // where there is no room for it there is none for messages either
 }
 
-Journal::~Journal() {
+Journal::~Journal() { release(); }
+
+void Journal::release() {
+  if (fd_ < 0) return;
   flush();
-  if (fd_ >= 0) ::close(fd_);
+  struct stat s {};
+  left_inode_ = ::fstat(fd_, &s) == 0 ? s.st_ino : 0;
+  ::close(fd_);
+  fd_ = -1;
+}
+
+bool Journal::retake() {
+  if (fd_ >= 0) return true;
+  const int fd = ::open(path_.c_str(), O_RDWR | O_CLOEXEC | O_APPEND);
+  struct stat s {};
+  const bool same = fd >= 0 && ::fstat(fd, &s) == 0 && s.st_ino == left_inode_ &&
+                    static_cast<std::uint64_t>(s.st_size) == size_;
+  if (same) fd_ = fd;
+  else if (fd >= 0) ::close(fd);
+  return same;
 }
 
 // Reads what is sound. Damage in the middle is passed over up to the next sound record; what follows the last
@@ -346,6 +368,10 @@
     }
     return;
   }
+  if (type == kEpoch) {
+    epoch_ = std::max(epoch_, r.number());
+    return;
+  }
   if (type == kRules) {
     const std::int64_t number = r.number();
     return keepRules(number, std::make_shared<const MessageClass>(readRules(r)));
@@ -423,7 +449,7 @@
 
 // What a compaction would write, at most.
 std::uint64_t Journal::liveBytes() const {
-  return 2 * (kHeader + 16) + list_bytes_ + list_bytes_ / kBatch * (kHeader + 17) +
+  return 3 * (kHeader + 16) + list_bytes_ + list_bytes_ / kBatch * (kHeader + 17) +
          ailments_.size() * kAilment + past_bytes_ + entry_bytes_ + rules_bytes_;
 }
 
@@ -568,6 +594,7 @@
 // Old and new file are there together for a moment, so compaction comes while both still fit the budget.
 bool Journal::flush() {
   reserved_ = 0;
+  if (fd_ < 0) return false;
   if (buffer_.empty()) return true;
   const std::uint64_t after = size_ + buffer_.size();
   const std::uint64_t live = liveBytes();
@@ -586,12 +613,14 @@
 
 // Writes anew what is open, then renames: a kill at any moment leaves the old file or the new one, whole.
 bool Journal::compact() {
+  if (fd_ < 0) return false;
   std::vector<const Entry*> order;
   for (const auto& [id, e] : entries_) order.push_back(&e);
   std::sort(order.begin(), order.end(), [](const Entry* a, const Entry* b) { return a->order < b->order; });
   std::string data;
   const std::uint64_t live = liveBytes();
   data.reserve(live < disk_ ? live : 0);
+  frame(data, epochPayload(epoch_));
   if (list_index_ >= 0)
     eachListRecord(list_, list_index_, list_index_, true, [&](const std::string& r) { frame(data, r); });
   for (const auto& [key, a] : ailments_) frame(data, ailingPayload(a));
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -60,6 +60,13 @@
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
+  // How many processes have owned this journal, with this one: each start counts one on.
+  std::int64_t epoch() const { return epoch_; }
+  // Gives the file up: what waits is written, and from then on nothing is, whoever asks.
+  void release();
+  // Takes it back, as it was left; false if another process has written to it.
+  bool retake();
+
   const Recovered& recovered() const { return recovered_; }
   void forgetRecovered() { recovered_ = {}; }
 
@@ -119,6 +126,8 @@
   std::uint64_t beside_ = 0;
   std::function<bool()> give_way_;
   std::uint64_t disk_ = 0, size_ = 0, reserved_ = 0, next_order_ = 0;
+  std::int64_t epoch_ = 0;
+  std::uint64_t left_inode_ = 0;  // of the file that was given up
   int fd_ = -1;
   std::string buffer_;
   // Versions of classes that the file has, by the number that its messages name.
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <sstream>
 #include <stdexcept>
+#include <thread>
+#include <utility>
 
 #include "../admission/admission.h"
 #include "../carriers/http/http_carrier.h"
@@ -11,6 +13,10 @@
 #include "../core/host.h"
 #include "../discovery/discovery.h"
 #include "../doors/resp/server.h"
+#include "../handover/folder_lock.h"
+#include "../handover/giver.h"
+#include "../handover/inherited_calls.h"
+#include "../handover/taker.h"
 #include "../knowledge/keeper.h"
 #include "../log/log.h"
 #include "../membership/partner_names.h"
@@ -34,6 +40,9 @@
 constexpr std::int64_t kLeastClients = 8;
 // A client comes back after this while a partner's name has no address yet.
 constexpr Micros kUnresolved = 1'000'000;
+// A process that was killed may keep its folder for so long; one that is replaced has so long to hand it
+// over.
+constexpr Micros kDying = 2'000'000, kTakeOver = 12'000'000;
 // A step of the admission chain has so long: a client waits 400 ms for its answer.
 constexpr Micros kPatience = 300'000;
 
@@ -90,6 +99,7 @@
         daemon_(std::move(daemon)),
         look_(io),
         worker_(io),
+        lock_(config_.state),
         doors_(io) {
     if (alone()) clientsBeside(config_, daemon_, 0);
     else
@@ -101,69 +111,172 @@
     if (!recording.path.empty())
       recorder_ = std::make_unique<replay::Recorder>(recording.path, recording.most_bytes, config_.settings,
                                                      config_.seed);
+    nextSignal();
+    if (ownsFolder()) {
+      open(nullptr);
+      return;
+    }
+    taker_ = std::make_unique<handover::Taker>(
+        io, lock_, [this](const handover::Given* given) { open(given); },
+        [this](const Outcome& o) { calls_->ended(o); }, [this] { calls_->gone(); },
+        [this](const std::string& why) {
+          throw std::runtime_error(config_.state +
+                                   ": another process has this folder and does not hand it over: " + why);
+        });
+    taker_->begin(kTakeOver);
+  }
+
+  void tellReady() const {
+    notifyManager("READY=1");
+    std::string listen = clients_ ? "resp:" + config_.listen : "";
+    for (const DoorSpec& d : daemon_.doors) {
+      std::ostringstream address;
+      address << (listen.empty() ? "" : " ") << (d.kind == DoorKind::resp ? "resp:" : "http:") << d.listen;
+      listen += address.str();
+    }
+    log::write(log::Event::daemon_ready,
+               {{"version", GRADEMUX_VERSION}, {"listen", listen}, {"partners", partners()}});
+  }
+
+ private:
+  // A process that dies lets go of its folder in a moment; who is to be replaced listens, where the platform
+  // holds the clients' socket over processes. Anybody else has it by mistake.
+  bool ownsFolder() {
+    if (lock_.take() || config_.passed >= 0) return lock_.held();
+    for (const Micros until = monotonicNow() + kDying; !lock_.take();) {
+      if (monotonicNow() >= until)
+        throw std::runtime_error(config_.state + ": another process of a sender has this folder");
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return true;
+  }
+
+  // The folder is this process's from now on. What can fail without it comes first.
+  void open(const handover::Given* given) {
     doors_.bind(daemon_.doors);
     // Only now that every address is had: the journal of a process that can't begin stays as it is.
     journal_ = std::make_unique<Journal>(config_.state, config_.disk_bytes);
     const auto told = [this](const std::string& id) { host_->told(id); };
     const tcp::endpoint agent = alone() ? tcp::endpoint() : parseAddress(config_.discovery);
     if (alone()) {
-      notices_ = std::make_unique<OnRecordAlone>(io, told);
+      notices_ = std::make_unique<OnRecordAlone>(io_, told);
     } else {
-      auto notices = std::make_unique<Notices>(Agent(io, agent, config_.discovery), told);
+      auto notices = std::make_unique<Notices>(Agent(io_, agent, config_.discovery), told);
       platform_notices_ = notices.get();
       notices_ = std::move(notices);
     }
-    carrier_ = std::make_unique<HttpCarrier>(io, carrierLimits(config_),
-                                             [this](Outcome o) { host_->outcome(std::move(o)); });
-    host_ = std::make_unique<Host>(io, config_.settings, config_.seed, *journal_, *carrier_, *notices_);
-    admission_ = std::make_unique<Admission>(io, *host_, kPatience, config_.settings.max_pause);
+    carrier_ = std::make_unique<HttpCarrier>(io_, carrierLimits(config_),
+                                             [this](Outcome o) { ended(std::move(o)); });
+    calls_ = std::make_unique<handover::InheritedCalls>(
+        *carrier_, [this](Outcome o) { host_->outcome(std::move(o)); },
+        [this](const handover::Message& m) {
+          if (taker_) taker_->say(m);
+        });
+    host_ = std::make_unique<Host>(io_, config_.settings, config_.seed, *journal_, *calls_, *notices_);
+    admission_ = std::make_unique<Admission>(io_, *host_, kPatience, config_.settings.max_pause);
     if (recorder_)
       host_->tap([this](Micros now, const std::vector<Event>& events, const std::vector<Action>& actions) {
         recorder_->turn(now, events, actions);
       });
     const Membership::Hear hear = [this](ListAnswer answer) { return host_->list(std::move(answer)); };
     if (alone()) {
-      auto sources = std::make_unique<PartnerSources>(io, worker_, daemon_.site->sources,
+      auto sources = std::make_unique<PartnerSources>(io_, worker_, daemon_.site->sources,
                                                       journal_->recovered().list, hear);
       sources_ = sources.get();
       membership_ = std::move(sources);
       admission_->add(std::make_unique<PartnerNames>(sources_->table(), kUnresolved));
     } else {
-      auto watcher = std::make_unique<Watcher>(Agent(io, agent, config_.discovery), worker_, hear,
+      auto watcher = std::make_unique<Watcher>(Agent(io_, agent, config_.discovery), worker_, hear,
                                                config_.settings.senders, config_.seed);
       watcher_ = watcher.get();
       membership_ = std::move(watcher);
     }
     keeper_ = std::make_unique<knowledge::Keeper>(
-        io, worker_, daemon_.knowledge, config_.state, config_.name,
+        io_, worker_, daemon_.knowledge, config_.state, config_.name,
         [this](std::int64_t after, int most, knowledge::Keeper::Learned then) {
           host_->survey(after, most, std::move(then));
         },
         [this] { return journal_->spare(); }, [this](std::uint64_t bytes) { journal_->beside(bytes); });
     journal_->onTight([this] { return keeper_->giveWay(); });
     host_->onAilment([this] { keeper_->soon(); });
-    host_->recover(config_.known, keeper_->read());
+    if (given) calls_->inherit(given->out);
+    host_->recover(config_.known, keeper_->read(), calls_->inherited());
+    if (given && given->standby) state_.inheritStandby();
+    if (taker_) {
+      taker_->taken();
+      log::write(log::Event::handover_taken, {{"epoch", journal_->epoch()},
+                                              {"calls", calls_->inherited().size()},
+                                              {"cause", given ? "given" : "the earlier process is gone"}});
+    }
     keeper_->start();
     membership_->start(host_->version());
     if (clients_) clients_->start(*admission_, state_);
     doors_.start(*admission_, state_);
     state_.ready();
-    nextSignal();
+    if (config_.passed >= 0) giver_ = std::make_unique<handover::Giver>(io_, lock_.fd(), owner());
+    tellReady();
+    if (reload_due_) reload();
   }
 
-  void tellReady() const {
-    notifyManager("READY=1");
-    std::string listen = clients_ ? "resp:" + config_.listen : "";
-    for (const DoorSpec& d : daemon_.doors) {
-      std::ostringstream address;
-      address << (listen.empty() ? "" : " ") << (d.kind == DoorKind::resp ? "resp:" : "http:") << d.listen;
-      listen += address.str();
+  // ---- replaced by another process
+
+  handover::Giver::Owner owner() {
+    return {
+        [this] { return refusesHandover(); },
+        [this] {
+          if (clients_) clients_->drain(Leaving::replaced);
+          doors_.giveUp();
+        },
+        [this] { return (!clients_ || clients_->open() + clients_->halfRead() == 0) && doors_.open() == 0; },
+        [this] { return give(); },
+        [this] {
+          if (lock_.take() && journal_->retake()) return true;
+          lock_.release();
+          return false;
+        },
+        [this] { resume(); },
+        [this](const handover::CallId& c) { carrier_->cancel(c.first, c.second); },
+        [this] {
+          state_.stop("another process has taken over");
+          unreported_.clear();
+          lookAgain();
+        }};
+  }
+
+  std::string refusesHandover() const {
+    if (stop_from_ != 0) return "stopping";
+    return calls_->inherited().empty() ? "" : "calls of an earlier process are out still";
+  }
+
+  handover::Given give() {
+    if (watcher_) watcher_->pause();
+    if (daemon_.knowledge.keep) keeper_->finish(host_->learned());
+    host_->suspend();
+    carrier_->closeAllIdle();
+    const handover::Given given{state_.standby(), carrier_->outCalls()};
+    log::write(log::Event::handover_given, {{"calls", given.out.size()}});
+    lock_.release();
+    return given;
+  }
+
+  void resume() {
+    log::write(log::Event::handover_resumed);
+    if (host_->suspended()) {
+      host_->resume();
+      for (Outcome& o : std::exchange(unreported_, {})) host_->outcome(std::move(o));
+      keeper_->resume();
+      if (watcher_) watcher_->start(host_->version());
     }
-    log::write(log::Event::daemon_ready,
-               {{"version", GRADEMUX_VERSION}, {"listen", listen}, {"partners", partners()}});
+    if (clients_) clients_->resume();
+    doors_.retake();
+  }
+
+  void ended(Outcome o) {
+    if (!host_->suspended()) return host_->outcome(std::move(o));
+    giver_->ended(o);
+    if (giver_->steps().step() != handover::Step::left) unreported_.push_back(std::move(o));
   }
 
- private:
   bool alone() const { return config_.discovery.empty(); }
 
   std::size_t partners() const { return sources_ ? sources_->table().partners() : 0; }
@@ -189,7 +302,8 @@
       if (e) return;
       if (number == SIGHUP) {
         notifyReloading();
-        reload();
+        if (host_ && !host_->suspended()) reload();
+        else reload_due_ = true;
         notifyManager("READY=1");
       } else {
         stop();
@@ -291,19 +405,25 @@
     log::write(log::Event::daemon_stopping);
     notifyManager("STOPPING=1");
     state_.stop("SIGTERM");
-    sendAway(Leaving::stopping);
-    admission_->drain();
-    host_->stopAt(stop_from_ + kStopAfter);
+    if (!host_) return io_.stop();  // it has not begun: nothing is owed
+    if (!host_->suspended()) {
+      sendAway(Leaving::stopping);
+      admission_->drain();
+      host_->stopAt(stop_from_ + kStopAfter);
+    }
     lookAgain();
   }
 
   void lookAgain() {
-    const Micros since = monotonicNow() - stop_from_;
-    const bool quiet = since > kLateClients && (!clients_ || clients_->open() == 0) && doors_.open() == 0 &&
-                       carrier_->out() == 0 && notices_->owed() == 0 && host_->idle();
+    const bool replaced = host_->suspended();
+    const Micros since = stop_from_ == 0 ? 0 : monotonicNow() - stop_from_;
+    const bool no_client = (!clients_ || clients_->open() == 0) && doors_.open() == 0;
+    const bool quiet = replaced ? no_client && carrier_->out() == 0 && !giver_->unsaid()
+                                : since > kLateClients && no_client && calls_->out() == 0 &&
+                                      notices_->owed() == 0 && host_->idle();
     if (quiet || since >= kStopAfter) {
       signals_.cancel();
-      if (daemon_.knowledge.keep) keeper_->finish(host_->learned());
+      if (daemon_.knowledge.keep && !replaced) keeper_->finish(host_->learned());
       return static_cast<boost::asio::io_context&>(look_.get_executor().context()).stop();
     }
     look_.expires_after(std::chrono::microseconds(kLook));
@@ -321,11 +441,16 @@
   operate::State state_;
   std::unique_ptr<operate::OperatorsDoor> operators_;
   Micros stop_from_ = 0;
+  handover::FolderLock lock_;        // outlives the journal
+  std::vector<Outcome> unreported_;  // since the folder was given, for the way back
+  bool reload_due_ = false;
   std::unique_ptr<replay::Recorder> recorder_;
   std::unique_ptr<Journal> journal_;
   std::unique_ptr<EndNotices> notices_;
   Notices* platform_notices_ = nullptr;  // the same, on a platform
   std::unique_ptr<HttpCarrier> carrier_;
+  std::unique_ptr<handover::InheritedCalls> calls_;
+  std::unique_ptr<handover::Taker> taker_;
   std::unique_ptr<Host> host_;
   std::unique_ptr<knowledge::Keeper> keeper_;
   std::unique_ptr<Admission> admission_;
@@ -334,6 +459,7 @@
   Watcher* watcher_ = nullptr;         // the same, on a platform
   Doors doors_;                        // last: they hold answers that what stands above owes
   std::unique_ptr<RespDoor> clients_;  // the platform's
+  std::unique_ptr<handover::Giver> giver_;
 };
 
 }  // namespace
@@ -341,7 +467,6 @@
 void serve(boost::asio::io_context& io, boost::asio::signal_set& signals, Config config, DaemonFile daemon,
            const Recording& recording) {
   Service service(io, signals, std::move(config), std::move(daemon), recording);
-  service.tellReady();
   io.run();
   log::finish();
 }
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -40,10 +40,14 @@
   });
 }
 
-void Agent::moveTo(tcp::endpoint peer, std::string host) {
+void Agent::stop() {
   ++turn_;
   timer_.cancel();
   connection_.reset();
+}
+
+void Agent::moveTo(tcp::endpoint peer, std::string host) {
+  stop();
   peer_ = std::move(peer);
   host_ = std::move(host);
 }
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -24,6 +24,7 @@
   void ask(HttpRequest request, Micros limit, HttpConnection::Done done);
   void later(Micros pause, std::function<void()> then);  // drops the connection, goes on after the pause
   void moveTo(tcp::endpoint peer, std::string host);     // calls off what is under way
+  void stop();                                           // the same, and drops the connection
 
  private:
   boost::asio::io_context& io_;
@@ -43,6 +44,11 @@
   void start(std::int64_t from) override;
   void refresh() override {}                          // it is told at once of all that changes
   void moveTo(tcp::endpoint peer, std::string host);  // asks there, for the whole list
+  // Asks no more, until it is started again.
+  void pause() {
+    ++asked_;
+    agent_.stop();
+  }
   void setSenders(int senders) { asking_.setSenders(senders); }
 
  private:
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -1,6 +1,7 @@
 // grademux: the server for clients; see server.h.
 #include "server.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
@@ -462,6 +463,11 @@
   }
 }
 
+std::size_t RespDoor::halfRead() const {
+  return static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(), [](const auto& s) { return s->phase == Session::Phase::partial; }));
+}
+
 void RespDoor::resume() {
   paused_ = false;
   accept();
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -35,6 +35,7 @@
   void resume() override;
   std::size_t open() const override { return unanswered_; }
   std::size_t connections() const override { return sessions_.size(); }
+  std::size_t halfRead() const;  // requests that have begun to come
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
   void setLimits(Limits limits) { limits_ = limits; }  // what is over them ends as others come
 
--- /dev/null
+++ b/src/handover/taker.h
@@ -0,0 +1,59 @@
+// grademux: the process that comes: it waits for the folder, or asks the one that has it. Bounded in time;
+// what does not answer, or speaks another version, is waited for until it is gone.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "folder_lock.h"
+#include "line_socket.h"
+
+namespace grademux::handover {
+
+class Taker {
+ public:
+  // Called once, with the lock held. Null: nobody had the folder, or it died.
+  using Owned = std::function<void(const Given* given)>;
+  // The end of a call that stayed with the earlier process; then, once, that it is gone.
+  using Ended = std::function<void(const Outcome&)>;
+  using Gone = std::function<void()>;
+  // Called once when the folder could not be had in time, with what to tell people.
+  using Failed = std::function<void(const std::string& why)>;
+
+  Taker(boost::asio::io_context& io, FolderLock& lock, Owned owned, Ended ended, Gone gone, Failed failed);
+
+  // Asks, and goes on asking for so long (microseconds).
+  void begin(Micros patience);
+  void say(const Message& m) {
+    if (other_) other_->say(m);
+  }
+  // It is on record that this process owns the folder.
+  void taken() { say(Taken{}); }
+
+ private:
+  void go();
+  void later(Micros pause);
+  void hear(const Message& m);
+  void own(const Given* given);
+
+  boost::asio::io_context& io_;
+  FolderLock& lock_;
+  Owned owned_;
+  Ended ended_;
+  Gone gone_;
+  Failed failed_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<LineSocket> other_;
+  std::optional<Given> given_;
+  Micros until_ = 0, answer_by_ = 0;
+  std::string why_ = "it does not answer";
+  std::vector<Outcome> early_;  // heard before the folder was owned
+  bool asked_ = false, owns_ = false;
+};
+
+}  // namespace grademux::handover
--- a/src/knowledge/keeper.cpp
+++ b/src/knowledge/keeper.cpp
@@ -139,6 +139,11 @@
   told(put(path_, book, mostBytes()));
 }
 
+void Keeper::resume() {
+  stopped_ = false;
+  start();
+}
+
 bool Keeper::giveWay() {
   gave_way_ = writing_;
   if (writing_) return false;
--- a/src/knowledge/keeper.h
+++ b/src/knowledge/keeper.h
@@ -39,8 +39,9 @@
   void soon();
   // A daemon file that was read again.
   void change(KeeperSpec spec);
-  // The process ends: writes this on the spot.
+  // The process ends, or gives its folder to another: writes this on the spot.
   void finish(Book book);
+  void resume();  // after finish(): the folder stayed with this process
   // The file goes, for the journal's sake. False while it is being written: it goes then.
   bool giveWay();
 
--- a/tests/decision/restart_test.cpp
+++ b/tests/decision/restart_test.cpp
@@ -37,6 +37,58 @@
   EXPECT_EQ("forgotten", rig.got<Refuse>()[0].id);
 }
 
+// Risk: calls that stayed with the process that was replaced are made again, or take no slot.
+TEST(Restart, WhatIsOutStillTakesItsSlotAndEndsByItsOutcome) {
+  Settings set = makeSettings();
+  set.slots = 1;
+  Rig rig(set);
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  PastAttempt out{"e", 99 * kS, true, true};
+  EXPECT_TRUE(rig.run({resumed(rig, "out", "unsafe", {out}), resumed(rig, "next", "safe", {})}).empty());
+  EXPECT_TRUE(rig.got<Fail>().empty());
+  rig.at(101 * kS);
+  const auto sent = rig.run({rig.outcome("out", 0, Result::ok)});
+  EXPECT_EQ(sent, (std::vector<std::string>{"next"}));
+  EXPECT_TRUE(rig.got<Fail>().empty());
+  // One whose end was never heard, since its process died, may have run.
+  Rig other(set);
+  other.at(100 * kS).list({makeEndpoint("e", 1)});
+  other.run({resumed(other, "out", "unsafe", {out})});
+  other.run({other.outcome("out", 0, Result::cancelled)});
+  ASSERT_EQ(1u, other.got<Fail>().size());
+}
+
+// Risk: a class that is altered while messages are open binds these too.
+TEST(Retune, OpenMessagesKeepTheClassTheyCameUnder) {
+  Rig rig;
+  rig.at(100 * kS).list({makeEndpoint("e", 1)});
+  EXPECT_EQ(rig.run({rig.arrival("old", "unsafe", 1)}).size(), 1u);
+  Settings other = rig.set;
+  for (MessageClass& c : other.classes) c.effect = c.name == "unsafe" ? Effect::safe : c.effect;
+  other.classes.erase(other.classes.begin());  // "safe" is dropped
+  other.max_attempts = 2;
+  rig.run({Retuned{other}});
+  rig.run({rig.arrival("gone", "safe", 1)});
+  ASSERT_EQ(rig.got<Fail>().size(), 1u);
+  EXPECT_EQ(rig.got<Fail>()[0].id, "gone");
+  EXPECT_EQ(rig.run({rig.arrival("new", "unsafe", 1)}).size(), 1u);
+  rig.run({rig.outcome("old", 0, Result::error), rig.outcome("new", 0, Result::error)});
+  ASSERT_EQ(rig.got<Fail>().size(), 1u);  // it may have run, and came when its class was unsafe
+  EXPECT_EQ(rig.got<Fail>()[0].id, "old");
+  rig.at(110 * kS);
+  EXPECT_EQ(rig.run({Wake{}}), (std::vector<std::string>{"new"}));
+  // One that a restart brings back with its rules is held to those.
+  Resumed r = resumed(rig, "resumed", "unsafe", {{"e", 109 * kS, true, false}});
+  r.rules = std::make_shared<const MessageClass>([] {
+    MessageClass c = makeClass("unsafe", Effect::unsafe);
+    c.max_attempts = 6;
+    return c;
+  }());
+  rig.run({r});
+  ASSERT_EQ(rig.got<Fail>().size(), 1u);
+  EXPECT_EQ(rig.got<Fail>()[0].id, "resumed");
+}
+
 TEST(Restart, PastAttemptsCountTowardsTheMost) {
   Rig rig;
   rig.at(100 * kS).list({makeEndpoint("e", 1)});
