--- a/bench/knowledge_bench.cpp
+++ b/bench/knowledge_bench.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 
+#include "../src/core/file.h"
 #include "../src/knowledge/book.h"
 
 namespace {
@@ -53,7 +54,7 @@
   const std::string bytes = knowledge::encode(bookOf(state.range(0)), UINT64_MAX, left_out);
   const std::string path = "/tmp/grademux-knowledge-bench";
   for (auto _ : state)
-    if (!knowledge::writeBook(path, bytes).empty()) state.SkipWithError("can't be written");
+    if (!replaceFile(path, bytes).empty()) state.SkipWithError("can't be written");
   std::remove(path.c_str());
 }
 BENCHMARK(BM_KnowledgeWrite)->Arg(20)->Arg(2000)->Arg(20000)->Unit(benchmark::kMicrosecond);
--- a/rig/child.cpp
+++ b/rig/child.cpp
@@ -60,6 +60,17 @@
   return ntohs(a.sin_port);
 }
 
+Listening::Listening() {
+  fd_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in a = loopback(0);
+  socklen_t n = sizeof a;
+  if (fd_ < 0 || ::bind(fd_, reinterpret_cast<sockaddr*>(&a), n) != 0 || ::listen(fd_, 128) != 0 ||
+      ::getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &n) != 0)
+    throw std::runtime_error("no port can be had on 127.0.0.1");
+  port_ = ntohs(a.sin_port);
+}
+Listening::~Listening() { ::close(fd_); }
+
 Child::~Child() {
   if (!running()) return;
   signal(SIGKILL);
@@ -67,7 +78,7 @@
 }
 
 void Child::start(const std::vector<std::string>& command, const std::vector<std::string>& variables,
-                  const std::string& log) {
+                  const std::string& log, int passed) {
   const pid_t parent = ::getpid();
   std::vector<char*> argv;
   for (const std::string& c : command) argv.push_back(const_cast<char*>(c.c_str()));
@@ -83,7 +94,13 @@
     ::dup2(fd, STDOUT_FILENO);
     ::dup2(fd, STDERR_FILENO);
   }
-  ::close_range(STDERR_FILENO + 1, ~0U, 0);  // listeners of the stand-ins are not the program's
+  // Listeners of the stand-ins are not the program's.
+  if (passed >= 0) {
+    if (passed == kPassed) ::fcntl(passed, F_SETFD, 0);
+    else ::dup2(passed, kPassed);
+    ::close_range(STDERR_FILENO + 1, kPassed - 1, 0);
+  }
+  ::close_range(passed >= 0 ? kPassed + 1 : STDERR_FILENO + 1, ~0U, 0);
   for (const std::string& v : variables) {
     const auto equals = v.find('=');
     ::setenv(v.substr(0, equals).c_str(), v.substr(equals + 1).c_str(), 1);
--- a/rig/child.h
+++ b/rig/child.h
@@ -24,13 +24,37 @@
 
 // A port on 127.0.0.1 that was free a moment ago.
 int freePort();
+// A socket that listens at a port of 127.0.0.1 which it was given: nobody else can have it meanwhile.
+class Listening {
+ public:
+  Listening();
+  ~Listening();
+  Listening(const Listening&) = delete;
+  Listening& operator=(const Listening&) = delete;
+  int fd() const { return fd_; }
+  int port() const { return port_; }
+
+ private:
+  int fd_ = -1, port_ = 0;
+};
 
 class Child {
  public:
+  Child() = default;
+  explicit Child(pid_t pid) : pid_(pid) {}
   ~Child();
-  // `variables` as NAME=VALUE; standard error goes to `log`.
+  Child(const Child&) = delete;
+  Child& operator=(const Child&) = delete;
+  pid_t release() {  // whoever has the number looks after it from now on
+    const pid_t pid = pid_;
+    pid_ = -1;
+    return pid;
+  }
+  // `variables` as NAME=VALUE; standard output and error go to `log`. `passed`: a descriptor that it has as
+  // kPassed.
+  static constexpr int kPassed = 7;
   void start(const std::vector<std::string>& command, const std::vector<std::string>& variables,
-             const std::string& log);
+             const std::string& log, int passed = -1);
   bool waitForPort(int port, int seconds) const;  // until it accepts connections
   void signal(int number) const;
   int wait();  // its status, as waitpid has it; -1 if it isn't running
--- /dev/null
+++ b/rig/fleet.cpp
@@ -0,0 +1,349 @@
+// grademux rig: a fleet; see fleet.h.
+#include "fleet.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <sstream>
+
+#include "../src/core/clock.h"
+
+namespace grademux::rig {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* kPrefix = "rig";
+// What a call or an answer may come later than it was begun, on a machine that is busy with all of this.
+constexpr Micros kSlack = 150'000;
+
+}  // namespace
+
+Fleet::Fleet(const std::string& program, std::uint64_t seed, FleetShape shape)
+    : program_(program),
+      shape_(shape),
+      work_(asio::make_work_guard(io_)),
+      calls_(static_cast<std::size_t>(shape.senders)),
+      deaf_(calls_.size()),
+      killed_(calls_.size()) {
+  store_ = std::make_unique<StoreStandIn>(io_, shape_.nodes);
+  const auto nodes = store_->addresses();
+  Shape each;
+  each.destinations = 2;
+  each.slots = 16;
+  each.http = false;
+  each.passed = true;
+  each.links = true;
+  each.disk_mb = 16;
+  each.connections = 8;
+  each.capacity = 1 << 18;
+  for (std::size_t i = 0; i < calls_.size(); ++i) {
+    links_.emplace_back();
+    std::string addresses;
+    for (std::size_t n = 0; n < nodes.size(); ++n) {  // senders begin at different nodes
+      const std::size_t at = (i + n) % nodes.size();
+      links_[i].push_back(std::make_unique<Link>(io_, nodes[at]));
+      addresses += (n ? ", \"" : "\"") + links_[i].back()->address() + "\"";
+    }
+    worlds_.push_back(std::make_unique<World>(program_, seed + i, each));
+    World& w = *worlds_.back();
+    w.setDaemonText([i, addresses] {
+      return "[fleet]\nname = \"s" + std::to_string(i) + "\"\nstore = [" + addresses + "]\nprefix = \"" +
+             kPrefix + "\"\nstamp = true\nsession = \"10 s\"\ntrail = \"1 MiB\"\n";
+    });
+    for (std::size_t e = 0; e < w.endpoints(); ++e)
+      w.endpoint(e).on_call = [this, i](const Request& r) {
+        Called c;
+        c.at = r.first_byte;
+        const std::string stamp = r.field("X-Fleet-Version");
+        if (const auto dot = stamp.find('.'); dot != std::string::npos) {
+          c.plan = std::atoll(stamp.c_str());
+          c.version = std::atoll(stamp.c_str() + dot + 1);
+        }
+        const std::lock_guard<std::mutex> lock(mutex_);
+        calls_[i].push_back(c);
+      };
+  }
+  thread_ = std::thread([this] { io_.run(); });
+}
+
+Fleet::~Fleet() {
+  stopLoad();
+  for (std::size_t i = 0; i < size(); ++i) worlds_[i]->child().signal(SIGKILL);
+  worlds_.clear();
+  io_.stop();
+  thread_.join();
+  links_.clear();
+  store_.reset();
+}
+
+void Fleet::onStore(const std::function<void()>& f) {
+  std::promise<void> done;
+  asio::post(io_, [&] {
+    f();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void Fleet::start(std::size_t i) { worlds_[i]->start(); }
+
+void Fleet::startAll() {
+  for (std::size_t i = 0; i < size(); ++i) start(i);
+}
+
+void Fleet::beginLoad() {
+  loading_ = true;
+  for (auto& w : worlds_) {
+    w->expectCuts(true);  // whoever is sent away, or meets a dead process, comes again
+    load_.emplace_back([this, world = w.get()] {
+      while (loading_) world->load(shape_.rate, 50'000, {By::resp});
+    });
+  }
+}
+
+void Fleet::stopLoad() {
+  loading_ = false;
+  for (std::thread& t : load_) t.join();
+  load_.clear();
+}
+
+void Fleet::cutStore(std::size_t i, Link::Way way) {
+  onStore([&] {
+    for (auto& l : links_[i]) l->set(way);
+  });
+  auto& deaf = deaf_[i];
+  if (way == Link::Way::whole) {
+    if (!deaf.empty() && deaf.back().to == 0) deaf.back().to = monotonicNow();
+  } else if (deaf.empty() || deaf.back().to != 0) {
+    deaf.push_back({monotonicNow(), 0});
+  }
+}
+
+void Fleet::stop(std::size_t i) { worlds_[i]->child().signal(SIGSTOP); }
+void Fleet::go(std::size_t i) { worlds_[i]->child().signal(SIGCONT); }
+void Fleet::kill(std::size_t i) {
+  killed_[i] = true;
+  worlds_[i]->kill();
+  worlds_[i]->ledger.died(monotonicNow());
+}
+void Fleet::restart(std::size_t i, const std::string& program) { worlds_[i]->again(program); }
+
+void Fleet::setAim(double aim_ms) {
+  for (auto& w : worlds_) {
+    w->setAim(aim_ms);
+    w->writeConfig();
+  }
+}
+
+std::string Fleet::settingsDigest(std::size_t i) {
+  const Said s = command({"fleet", "digest", "--config", worlds_[i]->configFile()});
+  return s.text.substr(s.text.find(' ') + 1, 16);
+}
+
+std::vector<std::string> Fleet::storeAt() const {
+  std::vector<std::string> words = {"--prefix", kPrefix};
+  for (const std::string& a : store_->addresses()) words.insert(words.end(), {"--store", a});
+  return words;
+}
+
+Fleet::Said Fleet::command(std::vector<std::string> words) const {
+  words.insert(words.begin(), program_);
+  Folder folder;
+  Child child;
+  child.start(words, {}, folder.path() + "/said");
+  const int status = child.wait();
+  std::ifstream f(folder.path() + "/said");
+  return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, {std::istreambuf_iterator<char>(f), {}}};
+}
+
+Fleet::Said Fleet::propose(std::vector<std::string> words) {
+  words.insert(words.begin(), {"fleet", "plan", "propose", "--why", "rig"});
+  const auto where = storeAt();
+  words.insert(words.end(), where.begin(), where.end());
+  return command(std::move(words));
+}
+
+std::int64_t Fleet::planNumber() const {
+  const json p = json::parse(store_->value(std::string(kPrefix) + "/plan"), nullptr, false);
+  return p.is_object() ? p.value("number", std::int64_t{0}) : 0;
+}
+
+json Fleet::report(std::size_t i) const {
+  return json::parse(store_->value(std::string(kPrefix) + "/senders/s" + std::to_string(i)), nullptr, false);
+}
+
+bool Fleet::eventually(const std::function<bool()>& holds, Micros most) const {
+  for (const Micros until = monotonicNow() + most; !holds();) {
+    if (monotonicNow() > until) return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  return true;
+}
+
+bool Fleet::allAt(std::int64_t plan) {
+  for (std::size_t i = 0; i < size(); ++i) {
+    const json r = report(i);
+    if (!r.is_object() || r["own"]["plan"] != plan) return false;
+  }
+  return true;
+}
+
+std::vector<Called> Fleet::calls(std::size_t i) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  return calls_[i];
+}
+
+// When each plan bound, by the rig's clock, from the documents as the store took them: so long after its
+// change, and not before the one that precedes it.
+std::vector<Fleet::Plan> Fleet::plans() const {
+  std::vector<Plan> all;
+  bool before = false;
+  for (const StoreStandIn::Change& c : store_->changes(std::string(kPrefix) + "/plan")) {
+    const json o = json::parse(c.value, nullptr, false);
+    if (!o.is_object()) continue;
+    Plan p;
+    p.at = c.at;
+    p.number = o.value("number", std::int64_t{0});
+    p.binds = p.at + o.value("binds_after_ms", std::int64_t{0}) * 1000;
+    if (!all.empty()) p.binds = std::max(p.binds, all.back().binds);
+    // Over one that was lenient it binds only those who have heard of it.
+    const bool strict = o.value("strict", false);
+    p.strict = strict && before;
+    before = strict;
+    all.push_back(p);
+  }
+  return all;
+}
+
+void Fleet::holdAgainst(std::size_t i, json& f) {
+  const std::vector<Called> made = calls(i);
+  std::int64_t old = f.value("calls_under_old_version_after_bind", 0),
+               taken = f.value("taken_on_by_shut_out", 0), residue = f.value("residue_calls", 0),
+               unstamped = f.value("unstamped", 0);
+  Micros worst = f.value("worst_late_us", Micros{0});
+  const auto all = plans();
+  for (const Called& c : made) {
+    unstamped += c.plan < 0;
+    for (const Plan& p : all) {
+      if (!p.strict || c.plan >= p.number || c.at <= p.binds) continue;
+      worst = std::max(worst, c.at - p.binds);
+      // What was begun before and arrives after is no call that starts after.
+      c.at > p.binds + kSlack ? ++old : ++residue;
+      break;
+    }
+  }
+  // A sender that was cut off since before a plan was made can't have heard of it: nothing that it took on
+  // after the plan bound was taken on under it, whatever it says of itself.
+  World& w = *worlds_[i];
+  for (const Stretch& s : deaf_[i])
+    for (const Plan& p : all) {
+      if (!p.strict || p.at < s.from + kSlack) continue;
+      const Micros to = s.to == 0 ? monotonicNow() : s.to;
+      for (std::size_t m = 0; m < w.ledger.size(); ++m) {
+        const Record& r = w.ledger.at(static_cast<std::int64_t>(m));
+        const Micros at = r.answered;
+        if (r.said == rig::Said::accepted && at > p.binds + kSlack && at < to) ++taken;
+      }
+      for (const Called& c : made)
+        if (c.at > p.binds + kSlack && c.at < to) ++old;
+    }
+  f["calls_under_old_version_after_bind"] = old;
+  f["taken_on_by_shut_out"] = taken;
+  f["residue_calls"] = residue;
+  f["worst_late_us"] = worst;
+  f["unstamped"] = unstamped;
+  f["calls"] = f.value("calls", std::int64_t{0}) + static_cast<std::int64_t>(made.size());
+}
+
+// The trail, read here anew: each call names a version that the trail has, with the plan that the call names.
+void Fleet::heldTrail(std::size_t i, const std::vector<Called>& made, json& f) {
+  std::map<std::int64_t, std::int64_t> plan_of;  // by version
+  std::int64_t gaps = 0, standings = 0, sequence = 0;
+  std::vector<std::string> segments;
+  std::error_code e;
+  for (const auto& at : std::filesystem::directory_iterator(worlds_[i]->state() + "/trail", e))
+    segments.push_back(at.path().string());
+  std::sort(segments.begin(), segments.end());
+  for (const std::string& path : segments) {
+    std::ifstream in(path, std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in), {}};
+    for (std::size_t at = 0; at + 16 <= bytes.size();) {
+      std::size_t size = 0;
+      for (int b = 3; b >= 0; --b)
+        size = size << 8 | static_cast<unsigned char>(bytes[at + 4 + static_cast<std::size_t>(b)]);
+      if (at + 16 + size > bytes.size()) {
+        gaps += !killed_[i];
+        break;
+      }
+      const json r =
+          json::from_msgpack(bytes.begin() + static_cast<std::ptrdiff_t>(at + 16),
+                             bytes.begin() + static_cast<std::ptrdiff_t>(at + 16 + size), true, false);
+      at += 16 + size;
+      if (!r.is_object()) {
+        ++gaps;
+        continue;
+      }
+      const std::string kind = r.value("kind", "");
+      if (kind == "segment") continue;
+      gaps += r.value("seq", std::int64_t{0}) != sequence + 1;
+      sequence = r.value("seq", std::int64_t{0});
+      standings += kind == "standing";
+      if (kind == "version") plan_of[r["number"]] = r["own"]["plan"];
+    }
+  }
+  std::int64_t disagrees = 0;
+  for (const Called& c : made)
+    if (c.plan >= 0) {
+      const auto at = plan_of.find(c.version);
+      disagrees += at == plan_of.end() || at->second != c.plan;
+    }
+  f["trail_disagrees_with_endpoints"] =
+      f.value("trail_disagrees_with_endpoints", std::int64_t{0}) + disagrees;
+  f["gaps_unexplained"] = f.value("gaps_unexplained", std::int64_t{0}) + gaps;
+  f["standings"] = f.value("standings", std::int64_t{0}) + standings;
+}
+
+json Fleet::finish() {
+  stopLoad();
+  json f = json::object();
+  bool holds = true, settled = true;
+  std::vector<std::future<bool>> all;
+  for (auto& w : worlds_)
+    all.push_back(std::async(std::launch::async, [&w] { return w->settle(40'000'000); }));
+  for (auto& s : all) settled = s.get() && settled;
+  bool ended_well = true;
+  for (auto& w : worlds_) w->child().signal(SIGTERM);
+  for (auto& w : worlds_) {
+    const int status = w->child().wait();
+    ended_well = ended_well && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+  }
+  for (std::size_t i = 0; i < size(); ++i) {
+    bool kept = false;
+    const json s = worlds_[i]->ledger.summary(kept);
+    holds = holds && kept;
+    for (const char* name :
+         {"submitted", "accepted", "refused", "cut", "delivered", "messages_lost", "double_ends",
+          "unsafe_twice", "run_after_refusal", "answers_lost", "strangers", "calls_after_drain"})
+      f[name] = f.value(name, std::int64_t{0}) + s.value(name, std::int64_t{0});
+    holdAgainst(i, f);
+    heldTrail(i, calls(i), f);
+  }
+  f["plans"] = plans().size();
+  f["store_requests"] = store_->requests();
+  f["settled"] = settled;
+  f["ended_well"] = ended_well;
+  for (const char* none : {"calls_under_old_version_after_bind", "taken_on_by_shut_out", "unstamped",
+                           "trail_disagrees_with_endpoints", "gaps_unexplained"})
+    holds = holds && f[none] == 0;
+  f["holds"] = holds && settled && ended_well;
+  return f;
+}
+
+}  // namespace grademux::rig
--- /dev/null
+++ b/rig/fleet.h
@@ -0,0 +1,107 @@
+// grademux rig: a fleet: several sender processes, each with a world of its own (clients, endpoints,
+// discovery), before one store with several nodes, every pair joined by a link. Faults are set between the
+// processes, in them (SIGKILL, SIGSTOP) and in their files; what endpoints, clients and the store saw is held
+// against the invariants of docs/design/fleet.md by code that the sender does not have.
+#pragma once
+
+#include <map>
+
+#include "store_stand_in.h"
+#include "world.h"
+
+namespace grademux::rig {
+
+struct FleetShape {
+  int senders = 4;
+  std::size_t nodes = 3;
+  Micros lease = 2'000'000;  // of the first plan
+  bool strict = true;
+  double rate = 40;  // messages a second to each sender
+};
+
+// What is known of one sender, from outside of it.
+struct Stretch {  // in which it could not hear of the store
+  Micros from = 0, to = 0;
+};
+struct Called {  // as an endpoint saw it
+  Micros at = 0;
+  std::int64_t plan = -1, version = 0;  // that the call names; -1: it names none
+};
+
+class Fleet {
+ public:
+  Fleet(const std::string& program, std::uint64_t seed, FleetShape shape);
+  ~Fleet();
+
+  std::size_t size() const { return worlds_.size(); }
+  World& world(std::size_t i) { return *worlds_[i]; }
+  StoreStandIn& store() { return *store_; }
+  // On the thread of store and links, until it is done.
+  void onStore(const std::function<void()>& f);
+  Link& storeLink(std::size_t sender, std::size_t node) { return *links_[sender][node]; }
+
+  void start(std::size_t i);
+  void startAll();
+  // Clients of all senders, on threads of their own, until stopLoad().
+  void beginLoad();
+  void stopLoad();
+
+  void cutStore(std::size_t i, Link::Way way);  // whole: healed
+  void stop(std::size_t i);                     // SIGSTOP
+  void go(std::size_t i);
+  void kill(std::size_t i);
+  void restart(std::size_t i, const std::string& program = "");
+  // Settings of all senders' files; a plan asks for what digestOf() says of them.
+  void setAim(double aim_ms);
+  std::string settingsDigest(std::size_t i = 0);
+
+  // The program's own commands, as processes.
+  struct Said {
+    int status = -1;
+    std::string text;
+  };
+  Said command(std::vector<std::string> words) const;
+  Said propose(std::vector<std::string> words);  // fleet plan propose --why ...
+  std::vector<std::string> storeAt() const;      // the options that name the store
+
+  // The plan in the store; number 0: none.
+  std::int64_t planNumber() const;
+  json report(std::size_t i) const;  // as the sender wrote it; null: never
+  bool eventually(const std::function<bool()>& holds, Micros most = 30'000'000) const;
+  bool allAt(std::int64_t plan);  // each sender reports that it has taken it over
+
+  // Ends all and holds what was seen against the invariants.
+  json finish();
+  std::vector<Called> calls(std::size_t i);
+
+ private:
+  struct Plan {
+    Micros at = 0, binds = 0;
+    std::int64_t number = 0;
+    bool strict = false;  // and binds everybody
+  };
+  std::vector<Plan> plans() const;
+  void holdAgainst(std::size_t i, json& f);
+  void heldTrail(std::size_t i, const std::vector<Called>& calls, json& f);
+
+  std::string program_;
+  FleetShape shape_;
+  boost::asio::io_context io_{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+  std::unique_ptr<StoreStandIn> store_;
+  std::vector<std::vector<std::unique_ptr<Link>>> links_;  // of each sender to each node
+  std::thread thread_;
+  std::vector<std::unique_ptr<World>> worlds_;
+  std::vector<std::thread> load_;
+  std::atomic<bool> loading_{false};
+  std::mutex mutex_;
+  std::vector<std::vector<Called>> calls_;
+  std::vector<std::vector<Stretch>> deaf_;
+  std::vector<bool> killed_;
+};
+
+// `grademux_rig fleet audit`, see fleet_audit.cpp.
+struct Options;
+json fleetAudit(const Options& o);
+
+}  // namespace grademux::rig
--- a/rig/scenarios.cpp
+++ b/rig/scenarios.cpp
@@ -6,6 +6,7 @@
 #include <functional>
 
 #include "../src/core/clock.h"
+#include "fleet.h"
 
 namespace grademux::rig {
 
@@ -253,6 +254,8 @@
       {"membership",
        {membership, "partners change in file, folder and DNS under load, with faults and kills"}},
       {"herd", {herd, "several senders restarted at once before one destination that returns"}},
+      {"fleet",
+       {fleetAudit, "`fleet audit`: plans under links cut, processes stopped and killed, files broken"}},
       {"restart",
        {restart, "killed and stopped in mid-outage, with what it knows and without, side by side"}},
       {"play", {play, "a world that stays up until Ctrl-C, with keys and lines to paste"}},
--- a/rig/scenarios.h
+++ b/rig/scenarios.h
@@ -18,7 +18,9 @@
   double rate = 0;          // messages a second; 0: the scenario's own
   int destinations = 2000;  // wide
   int listed = 20'000;      // wide: entries of the list that comes under load
-  int senders = 4;          // herd
+  int senders = 4;          // herd, fleet
+  std::string part;         // fleet: which
+  double lease_s = 2;       // fleet
 };
 using Scenario = json (*)(const Options&);
 // Partners that change in every way, see membership.cpp.
--- a/rig/stand_ins.cpp
+++ b/rig/stand_ins.cpp
@@ -29,7 +29,7 @@
 
 json Endpoint::listed(const char* status) const {
   return {{"name", name_},
-          {"address", server_.address()},
+          {"address", listed_at_.empty() ? server_.address() : listed_at_},
           {"zone", "a"},
           {"type", "partner"},
           {"group", destination_},
@@ -75,6 +75,7 @@
 
 void Endpoint::call(Request r, HttpStandIn::Respond respond) {
   ++calls_;
+  if (on_call) on_call(r);
   const Micros now = monotonicNow();
   if (r.first_byte > drained_at_ + kDrainGrace) ++ledger_.drained;
   Record* record = ledger_.find(r.field("X-Txn"));
--- a/rig/stand_ins.h
+++ b/rig/stand_ins.h
@@ -59,18 +59,21 @@
            Behaviour b, std::uint64_t seed, const std::string& host = "127.0.0.1", int port = 0);
   std::string address() const { return server_.address(); }
   json listed(const char* status = "Ready") const;
+  void at(std::string address) { listed_at_ = std::move(address); }  // the list names it in place of its own
   // On its io_context alone:
   Behaviour behaviour;
   void drainedAt(Micros at) { drained_at_ = at; }
   void shares(std::shared_ptr<Standing> s) { standing_ = std::move(s); }
   void refuse(bool on) { server_.refuse(on); }
+  // Sees each call that comes in.
+  std::function<void(const Request&)> on_call;
   std::uint64_t calls() const { return calls_; }
 
  private:
   void call(Request r, HttpStandIn::Respond respond);
   boost::asio::io_context& io_;
   Ledger& ledger_;
-  std::string name_;
+  std::string name_, listed_at_;
   std::int64_t destination_;
   std::mt19937_64 random_;
   Micros drained_at_ = kNever, span_at_ = 0;
--- a/rig/world.cpp
+++ b/rig/world.cpp
@@ -57,10 +57,17 @@
       endpoints_.push_back(
           std::make_unique<Endpoint>(stand_in_io_, ledger, name, d, shape_.behaviour, random(),
                                      shares ? "127.0.0." + std::to_string(2 + e) : "127.0.0.1", port));
+      if (shape_.links) {
+        endpoint_links_.push_back(std::make_unique<Link>(stand_in_io_, endpoints_.back()->address()));
+        endpoints_.back()->at(endpoint_links_.back()->address());
+      }
       all.push_back(endpoints_.back()->listed());
     }
+  if (shape_.links) discovery_link_ = std::make_unique<Link>(stand_in_io_, discovery_->address());
   discovery_->tell(std::move(all), true);
-  resp_port_ = freePort();  // after the endpoints have theirs, or one of many might take it
+  if (shape_.passed) listening_ = std::make_unique<Listening>();
+  resp_port_ = listening_ ? listening_->port()
+                          : freePort();  // after the endpoints have theirs, or one of many might take it
   http_port_ = freePort();
   thread_ = std::thread([this] { stand_in_io_.run(); });
 }
@@ -80,7 +87,7 @@
   json classes = json::array(), known = json::array();
   for (const Class& c : kClasses)
     classes.push_back({{"Name", c.name},
-                       {"AimMs", 4000.0},
+                       {"AimMs", shape_.aim_ms},
                        {"DeadlineMs", 20000.0},
                        {"Group", "all"},
                        {"Idempotency", c.effect},
@@ -90,7 +97,7 @@
   for (const auto& e : endpoints_) known.push_back(e->listed());
   return {{"name", "n0"},
           {"listen", "127.0.0.1:" + std::to_string(resp_port_)},
-          {"discovery", discovery_->address()},
+          {"discovery", discovery_link_ ? discovery_link_->address() : discovery_->address()},
           {"seed", "8c1f30d27a5be964"},
           {"limits", {{"cores", 1.0}, {"memory_mb", 1024}, {"sockets", 1024}, {"disk_mb", shape_.disk_mb}}},
           {"known", {{"index", 1}, {"snapshot", true}, {"endpoints", std::move(known)}}},
@@ -144,29 +151,72 @@
   std::filesystem::rename(daemonFile() + ".new", daemonFile());
 }
 
-void World::start() {
+std::vector<std::string> World::command(const std::string& program) {
   if (shape_.alone) {
     writeDaemonFile();
-    return startWith({program_, "run", "--daemon", daemonFile()});
+    return {program, "run", "--daemon", daemonFile()};
   }
-  std::vector<std::string> command{program_};
-  if (shape_.http) {
-    const std::string file = folder_.path() + "/daemon.toml";
-    std::ofstream(file) << "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:" << http_port_ << "\"\n"
-                        << (daemon_text_ ? daemon_text_() : "");
-    command.insert(command.end(), {"--daemon", file});
+  if (!shape_.http && !daemon_text_) return {program};
+  std::ofstream file(daemonFile());
+  if (shape_.http) file << "[[door]]\nkind = \"http\"\nlisten = \"127.0.0.1:" << http_port_ << "\"\n";
+  file << (daemon_text_ ? daemon_text_() : "");
+  return {program, "--daemon", daemonFile()};
+}
+
+void World::writeConfig(bool whole) const {
+  std::string text = config().dump();
+  if (!whole) text.resize(text.size() / 2);
+  std::ofstream(configFile() + ".new") << text;
+  std::filesystem::rename(configFile() + ".new", configFile());
+}
+
+std::vector<std::string> World::variables() const {
+  if (shape_.alone) return {};
+  std::vector<std::string> all = {"GW_CONFIG=" + configFile(), "GW_STATE=" + state()};
+  if (listening_) all.push_back("GW_PASSED_SOCKET=" + std::to_string(Child::kPassed));
+  return all;
+}
+
+std::size_t World::readies() const {
+  const std::string all = log();
+  std::size_t n = 0;
+  for (std::size_t at = all.find("daemon.ready"); at != std::string::npos;
+       at = all.find("daemon.ready", at + 1))
+    ++n;
+  return n;
+}
+
+// With a socket of the rig's, clients get through before the program is ready: its log tells.
+void World::launch(Child& child, const std::string& program) {
+  const std::size_t before = readies();
+  child.start(command(program), variables(), folder_.path() + "/log", listening_ ? listening_->fd() : -1);
+  const Micros until = monotonicNow() + kStart * 1'000'000LL;
+  while (readies() == before) {
+    if (child.ended() || monotonicNow() > until)
+      throw std::runtime_error("the program does not open its doors: " + log());
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
   }
-  startWith(command);
+}
+
+void World::again(const std::string& program) { launch(child_, program.empty() ? program_ : program); }
+
+std::unique_ptr<Child> World::beside() {
+  auto old = std::make_unique<Child>(child_.release());
+  launch(child_, program_);
+  return old;
+}
+
+void World::start() {
+  if (!shape_.alone) writeConfig();
+  if (!shape_.passed) return startWith(command(program_));
+  again();
+  if (!resp_) resp_ = std::make_unique<Clients>(client_io_, at(resp_port_), respWire(), shape_.connections);
+  lookAtJournal();
 }
 
 void World::startWith(const std::vector<std::string>& command) {
-  std::vector<std::string> variables;
-  if (!shape_.alone) {
-    const std::string file = folder_.path() + "/config.json";
-    std::ofstream(file) << config().dump();
-    variables = {"GW_CONFIG=" + file, "GW_STATE=" + folder_.path() + "/state"};
-  }
-  child_.start(command, variables, folder_.path() + "/log");
+  if (!shape_.alone) writeConfig();
+  child_.start(command, variables(), folder_.path() + "/log");
   if (!child_.waitForPort(resp_port_, kStart) || (shape_.http && !child_.waitForPort(http_port_, kStart)))
     throw std::runtime_error("the program does not open its doors: " + log());
   if (!resp_) resp_ = std::make_unique<Clients>(client_io_, at(resp_port_), respWire(), shape_.connections);
@@ -252,8 +302,8 @@
   const Micros until = monotonicNow() + span;
   std::size_t door = 0;
   while (monotonicNow() < until) {
-    const auto busy = static_cast<std::int64_t>(resp_->busy() + http_->busy());
-    for (std::int64_t n = std::max<std::int64_t>(0, ledger.in_flight) + busy; n < window; ++n)
+    const auto waiting = static_cast<std::int64_t>(busy());
+    for (std::int64_t n = std::max<std::int64_t>(0, ledger.in_flight) + waiting; n < window; ++n)
       if (!submit(doors[door++ % doors.size()])) return;
     client_io_.run_one_for(std::chrono::microseconds(kGrain));
     client_io_.poll();
@@ -294,7 +344,7 @@
   while (monotonicNow() < until) {
     run(shape_.alone ? 200'000 : 20'000);
     if (shape_.alone) lookForEnds();
-    if (resp_->busy() + http_->busy() == 0 && ledger.unended() == 0) {
+    if (busy() == 0 && ledger.unended() == 0) {
       run(200'000);  // what would come twice has time to
       return true;
     }
--- a/rig/world.h
+++ b/rig/world.h
@@ -8,6 +8,7 @@
 
 #include "child.h"
 #include "clients.h"
+#include "link.h"
 #include "stand_ins.h"
 
 namespace grademux::rig {
@@ -23,6 +24,9 @@
   std::size_t capacity = 1 << 20;
   bool alone = false;              // without a platform: by a daemon file, with partners p0, p1, ...
   std::vector<std::string> names;  // alone: of the partners, instead
+  bool passed = false;             // the rig listens for the clients, and the program inherits the socket
+  bool links = false;              // discovery and endpoints are reached over links
+  double aim_ms = 4000;            // of each class; see setAim()
   int same_port = -1;              // this destination's endpoints differ in their addresses alone
 };
 
@@ -32,6 +36,17 @@
   ~World();
 
   void start();  // the program, until its doors are open; throws if they don't
+  // The same from another thread than the one that runs the clients, once start() was. `program`: another.
+  void again(const std::string& program = "");
+  // A second process beside the one that runs; it is that which child() tells of from then on.
+  std::unique_ptr<Child> beside();
+  // Other settings in the file that the program reads at SIGHUP; `whole` false: cut off in its middle.
+  void setAim(double aim_ms) { shape_.aim_ms = aim_ms; }
+  void writeConfig(bool whole = true) const;
+  std::string configFile() const { return folder_.path() + "/config.json"; }
+  std::string state() const { return folder_.path() + "/state"; }
+  Link& endpointLink(std::size_t i) { return *endpoint_links_[i]; }
+  Link& discoveryLink() { return *discovery_link_; }
   void startWith(const std::vector<std::string>& command);
   void kill();  // SIGKILL
   int stop();   // SIGTERM, until it has ended; its status
@@ -63,8 +78,9 @@
   // At both doors: connections that end are the process's death, and no answer is owed.
   void expectCuts(bool on) {
     resp_->expectCuts(on);
-    http_->expectCuts(on);
+    if (http_) http_->expectCuts(on);
   }
+  std::size_t busy() const { return resp_->busy() + (http_ ? http_->busy() : 0); }
   // Open loop: so many a second at random moments, the doors in turn, for so long.
   void load(double rate, Micros span, const std::vector<By>& doors);
   // Closed loop: as many as are ended, with so many on their way.
@@ -78,6 +94,10 @@
 
  private:
   json config() const;
+  std::vector<std::string> command(const std::string& program);
+  std::vector<std::string> variables() const;
+  void launch(Child& child, const std::string& program);
+  std::size_t readies() const;
   void lookAtJournal();
   void lookForEnds();
   std::string program_;
@@ -87,6 +107,9 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_, client_work_;
   std::unique_ptr<Discovery> discovery_;
   std::vector<std::unique_ptr<Endpoint>> endpoints_;
+  std::vector<std::unique_ptr<Link>> endpoint_links_;
+  std::unique_ptr<Link> discovery_link_;
+  std::unique_ptr<Listening> listening_;
   std::thread thread_;
   std::function<std::string()> daemon_text_;
   int resp_port_ = 0, http_port_ = 0;
--- a/src/carriers/carrier.h
+++ b/src/carriers/carrier.h
@@ -21,7 +21,9 @@
   virtual void forget(const std::string& endpoint) = 0;
   // One attempt, at most `timeout` long. An endpoint that is unknown or has no usable address ends in
   // connect_failed. What may have reached the endpoint must not be reported as something that never ran.
-  virtual void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) = 0;
+  // `stamp`: the version that it was decided under, for the endpoint to see; empty: none.
+  virtual void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout,
+                    const std::string& stamp) = 0;
   // Ends an attempt that is out; its outcome is `cancelled`. Does nothing for one that is over.
   virtual void cancel(const std::string& id, int attempt) = 0;
   // Connections without a call are closed.
--- a/src/carriers/http/http_carrier.cpp
+++ b/src/carriers/http/http_carrier.cpp
@@ -106,7 +106,8 @@
   addresses_.erase(endpoint);
 }
 
-void HttpCarrier::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) {
+void HttpCarrier::call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout,
+                       const std::string& stamp) {
   const CallId id{m.id, attempt};
   const Micros began = monotonicNow();
   Call call;
@@ -134,7 +135,9 @@
   r.fields.emplace_back("X-Txn", m.id);
   if (!m.idempotency_key.empty()) r.fields.emplace_back("Idempotency-Key", m.idempotency_key);
   r.fields.emplace_back("X-Remaining-Ms", std::to_string(std::max<Micros>(1, timeout / 1000)));
+  if (!stamp.empty()) r.fields.emplace_back("X-Fleet-Version", stamp);
   r.body = m.body;
+  r.may = may_;
   HttpConnection& connection = *call.connection;
   calls_[id] = std::move(call);
   connection.exchange(std::move(r), limits_.dial_timeout, timeout,
--- a/src/carriers/http/http_carrier.h
+++ b/src/carriers/http/http_carrier.h
@@ -26,13 +26,16 @@
 
   void address(const std::string& endpoint, const std::string& address) override;
   void forget(const std::string& endpoint) override;
-  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) override;
+  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout,
+            const std::string& stamp) override;
   void cancel(const std::string& id, int attempt) override;
   void closeIdle(const std::string& endpoint) override;
   std::size_t out() const override { return calls_.size() + reporting_.size(); }
   std::vector<CallId> outCalls() const;  // those that have not been reported
   void closeAllIdle();
   std::size_t idle() const { return idle_count_; }
+  // Asked before the first byte of each call; false: the call is not made.
+  void setGuard(std::function<bool()> may) { may_ = std::move(may); }
   // Idle connections over them end as they are used or age.
   void setLimits(Limits limits) { limits_ = limits; }
 
@@ -53,6 +56,7 @@
   void sweep();
 
   boost::asio::io_context& io_;
+  std::function<bool()> may_;
   Limits limits_;
   OnOutcome on_outcome_;
   std::map<std::string, std::string> addresses_;
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,6 +1,8 @@
 // grademux: clocks; see clock.h.
 #include "clock.h"
 
+#include <time.h>
+
 #include <chrono>
 
 namespace grademux {
@@ -13,6 +15,11 @@
 }  // namespace
 
 Micros monotonicNow() { return now<std::chrono::steady_clock>(); }
+Micros boottimeNow() {
+  timespec t{};
+  ::clock_gettime(CLOCK_BOOTTIME, &t);
+  return static_cast<Micros>(t.tv_sec) * 1'000'000 + t.tv_nsec / 1000;
+}
 Micros unixNow() { return now<std::chrono::system_clock>(); }
 
 }  // namespace grademux
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -6,6 +6,7 @@
 namespace grademux {
 
 Micros monotonicNow();  // a clock that only goes forward
+Micros boottimeNow();   // the same, and on while the machine sleeps (CLOCK_BOOTTIME)
 Micros unixNow();       // a clock that holds across processes
 
 }  // namespace grademux
--- a/src/core/file.cpp
+++ b/src/core/file.cpp
@@ -1,9 +1,12 @@
 // grademux: files; see file.h.
 #include "file.h"
 
+#include <fcntl.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstdio>
+#include <cstring>
 
 namespace grademux {
 
@@ -29,6 +32,21 @@
   return true;
 }
 
+std::string replaceFile(const std::string& path, const std::string& bytes) {
+  const std::string fresh = path + ".new";
+  const auto failed = [&](int fd) {
+    const std::string why = std::strerror(errno);
+    if (fd >= 0) ::close(fd);
+    ::unlink(fresh.c_str());
+    return why;
+  };
+  const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+  if (fd < 0) return failed(fd);
+  if (!writeAll(fd, bytes)) return failed(fd);
+  if (::close(fd) != 0 || std::rename(fresh.c_str(), path.c_str()) != 0) return failed(-1);
+  return "";
+}
+
 std::uint64_t blocks(std::uint64_t bytes) { return (bytes + kFileBlock - 1) / kFileBlock * kFileBlock; }
 
 }  // namespace grademux
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -173,6 +173,8 @@
     else carrier_.address(e.id, c.entry.address);
     kept.emplace_back(e.id, std::move(c.text));
     u.endpoints.push_back(std::move(c.entry.endpoint));
+    EndpointState& state = u.endpoints.back().state;
+    if (closed_ && state == EndpointState::ready) state = EndpointState::draining;
   }
   // Sends are made in turns alone, so none goes before the module has heard this.
   if (!journal_.listed(kept, s.index, s.whole))
@@ -197,6 +199,7 @@
 
 void Host::submit(Submission s, Reply reply) {
   if (suspended_) return reply(Answer::refused(kHandover));
+  if (closed_) return reply(Answer::refused(settings_.max_pause));
   if (!s.partner.empty()) return reply(Answer::rejected("unknown-destination", "unknown partner"));
   const TakenOn& m = s.message;
   const auto cls = std::find_if(classes_.begin(), classes_.end(),
@@ -313,6 +316,18 @@
   wake();
 }
 
+void Host::close() {
+  if (closed_) return;
+  closed_ = true;
+  add(list_.as([](EndpointState s) { return s == EndpointState::ready ? EndpointState::draining : s; }));
+}
+
+void Host::open() {
+  if (!closed_) return;
+  closed_ = false;
+  add(list_.as([](EndpointState s) { return s; }));
+}
+
 void Host::stopAt(Micros at) { add(Stopping{at}); }
 
 void Host::add(Event e) {
@@ -357,15 +372,25 @@
       if (on_ailment_) on_ailment_();
     }
   }
+  const std::set<std::string> refused = right_ && !right_->holds() ? refuseFresh() : std::set<std::string>();
   for (const std::string& id : fresh_) journal_.accepted(held_.at(id).message);
-  std::vector<std::pair<const Send*, int>> sends;
+  struct Began {
+    const Send* send;
+    int attempt;
+    std::uint32_t version;
+  };
+  std::vector<Began> sends;
   for (const Action& a : actions) {
     const auto* s = std::get_if<Send>(&a);
     if (!s) continue;
     auto it = held_.find(s->id);
-    if (it == held_.end()) continue;
-    journal_.attempted(s->id, {s->endpoint, unixNow(), false});
-    sends.emplace_back(s, it->second.attempts++);
+    if (it == held_.end()) {
+      if (refused.count(s->id)) notSent(s->id, 0);
+      continue;
+    }
+    const std::uint32_t version = right_ ? journal_.versionOf(right_->version()) : 0;
+    journal_.attempted(s->id, {s->endpoint, unixNow(), false, version});
+    sends.push_back({s, it->second.attempts++, version});
   }
   const bool kept = journal_.flush();
   if (!kept) log::write(log::Event::journal_write_failed);
@@ -387,18 +412,15 @@
   std::size_t next = 0;
   for (const Action& a : actions) {
     if (const auto* s = std::get_if<Send>(&a)) {
-      if (next >= sends.size() || sends[next].first != s) continue;
-      const int attempt = sends[next++].second;
+      if (next >= sends.size() || sends[next].send != s) continue;
+      const auto [send, attempt, version] = sends[next++];
       auto it = held_.find(s->id);
-      if (kept) {
-        carrier_.call(it->second.message, attempt, s->endpoint, s->timeout);
+      if (kept && (!right_ || right_->holds())) {
+        carrier_.call(it->second.message, attempt, s->endpoint, s->timeout,
+                      right_ ? right_->stamp(version) : "");
         continue;
       }
-      Outcome o;
-      o.id = s->id;
-      o.attempt = attempt;
-      o.result = Result::not_sent;
-      outcome(std::move(o));
+      notSent(s->id, attempt);
     } else if (const auto* c = std::get_if<Cancel>(&a)) {
       carrier_.cancel(c->id, c->attempt);
     } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
@@ -411,6 +433,28 @@
   tellSurvey(actions);
 }
 
+// Guards against a message that is taken on by a process which may not act any more: it would stay with it.
+std::set<std::string> Host::refuseFresh() {
+  std::set<std::string> fresh;
+  fresh.swap(fresh_);
+  for (const std::string& id : fresh) {
+    const std::vector<Reply> replies = std::move(held_.at(id).replies);
+    held_.erase(id);
+    add(Gone{id});
+    for (const Reply& reply : replies) reply(Answer::refused(settings_.max_pause));
+  }
+  return fresh;
+}
+
+// The module counts it as out until it hears.
+void Host::notSent(const std::string& id, int attempt) {
+  Outcome o;
+  o.id = id;
+  o.attempt = attempt;
+  o.result = Result::not_sent;
+  outcome(std::move(o));
+}
+
 void Host::tellSurvey(const std::vector<Action>& actions) {
   const auto end = std::find_if(actions.begin(), actions.end(),
                                 [](const Action& a) { return std::holds_alternative<Surveyed>(a); });
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -16,6 +16,7 @@
 #include "../membership/list.h"
 #include "journal.h"
 #include "notices.h"
+#include "right.h"
 #include "settings.h"
 
 namespace grademux {
@@ -36,6 +37,13 @@
   void suspend();
   void resume();  // the journal was taken back
   bool suspended() const { return suspended_; }
+  // Where the right to act can end; null: it can't. It outlives the host's turns.
+  void bind(Right* right) { right_ = right; }
+  // The right has ended: nothing new is taken on or called until open(). The module hears that all endpoints
+  // drain, so that what is held waits, and ends as its class says.
+  void close();
+  void open();
+  bool closed() const { return closed_; }
   // What the module has learned, in Unix time and with the addresses of endpoints, of `most` destinations
   // above `after`: in one of the next turns. One survey at a time.
   using Learned = std::function<void(std::vector<knowledge::Known>, const Surveyed&)>;
@@ -79,6 +87,8 @@
   knowledge::Known shown(const Lesson& lesson) const;
   void tellList(std::size_t most, ListKind kind);
   bool knowsDestination(std::int64_t destination) const;
+  std::set<std::string> refuseFresh();
+  void notSent(const std::string& id, int attempt);
   void over(const std::string& id, const End& end);
   void tellIfOrphaned(const TakenOn& m, const End& end) const;
   void announce();
@@ -115,7 +125,8 @@
   std::set<Micros> wakes_;
   boost::asio::steady_timer turn_timer_, wake_timer_;
   Micros last_turn_ = INT64_MIN / 4;
-  bool turn_due_ = false, suspended_ = false;
+  Right* right_ = nullptr;
+  bool turn_due_ = false, suspended_ = false, closed_ = false;
 };
 
 }  // namespace grademux
--- a/src/core/journal.cpp
+++ b/src/core/journal.cpp
@@ -40,8 +40,9 @@
   kListed = 'D',  // its version, 1 if it begins anew, then name and entry of
                   // what has changed
   kAiling = 'H',
-  kEpoch = 'G',  // another process owns the journal from here on
-  kRules = 'C'   // a version of a class, and the number by which messages name it
+  kEpoch = 'G',    // another process owns the journal from here on
+  kVersion = 'V',  // a version that attempts are decided under, and the number by which they name it
+  kRules = 'C'     // a version of a class, and the number by which messages name it
 };
 
 std::uint32_t crcOf(const char* data, std::size_t size) {
@@ -51,6 +52,7 @@
 
 // Beside how a message ended: its digest is by XXH3. Without it, by FNV-1a, as versions before 0.4 wrote it.
 constexpr std::int64_t kByXxh3 = 16;
+constexpr std::int64_t kVersioned = 32;  // the version of its last attempt follows
 
 class Writer {
  public:
@@ -68,11 +70,12 @@
     return *this;
   }
   Writer& past(const Past& p) {
-    return number(static_cast<std::int64_t>(p.end.how) + (p.by_fnv ? 0 : kByXxh3))
+    number(static_cast<std::int64_t>(p.end.how) + (p.by_fnv ? 0 : kByXxh3) + (p.version ? kVersioned : 0))
         .number(p.end.at)
         .number(p.end.pause)
         .number(static_cast<std::int64_t>(p.digest))
         .number(p.until);
+    return p.version ? number(p.version) : *this;
   }
   const std::string& out() const { return out_; }
 
@@ -94,6 +97,8 @@
   Past past() {
     Past p;
     std::int64_t how = number();
+    const bool versioned = how >= kVersioned;
+    if (versioned) how -= kVersioned;
     p.by_fnv = how < kByXxh3;
     if (!p.by_fnv) how -= kByXxh3;
     if (how < 0 || how > static_cast<std::int64_t>(Ending::withdrawn))
@@ -103,6 +108,7 @@
     p.end.pause = number();
     p.digest = static_cast<std::uint64_t>(number());
     p.until = number();
+    if (versioned) p.version = static_cast<std::uint32_t>(number());
     return p;
   }
   std::string text() {
@@ -214,8 +220,14 @@
       .out();
 }
 std::string attemptedPayload(const std::string& id, const JournaledAttempt& a) {
-  return Writer(kAttempted).text(id).text(a.endpoint).number(a.sent).out();
+  Writer w(kAttempted);
+  w.text(id).text(a.endpoint).number(a.sent);
+  return (a.version ? w.number(a.version) : w).out();
 }
+std::string versionPayload(std::uint32_t number, const std::string& text) {
+  return Writer(kVersion).number(number).text(text).out();
+}
+std::uint64_t sizeOfVersion(const std::string& text) { return kHeader + 1 + 2 * 8 + text.size(); }
 std::string neverRanPayload(const std::string& id, std::size_t attempt) {
   return Writer(kNeverRan).text(id).number(static_cast<std::int64_t>(attempt)).out();
 }
@@ -225,7 +237,9 @@
 std::string endedPayload(const std::string& id, const Past& p) {
   return Writer(kEnded).text(id).past(p).out();
 }
-std::uint64_t sizeOfPast(const std::string& id) { return kHeader + 1 + 6 * 8 + id.size(); }
+std::uint64_t sizeOfPast(const std::string& id, const Past& p) {
+  return kHeader + 1 + (p.version ? 7 : 6) * 8 + id.size();
+}
 std::uint64_t sizeOfListed(const std::string& name, const std::string& entry) {
   return 2 * 8 + name.size() + entry.size();
 }
@@ -291,6 +305,30 @@
 
 Journal::~Journal() { release(); }
 
+Journal::Witness Journal::look(const std::string& folder, const std::string& id) {
+  const std::string path = folder + "/journal";
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) fault("journal: " + path);
+  std::string data;
+  const bool read = readAll(fd, data);
+  ::close(fd);
+  if (!read) fault("journal: " + path);
+  Journal j;  // without a file: it writes nothing
+  j.replay(data);
+  Witness w;
+  w.versions = j.versions_;
+  if (const Past* past = j.past(id)) {
+    w.known = w.ended = true;
+    w.past = *past;
+  }
+  if (const auto it = j.entries_.find(id); it != j.entries_.end()) {
+    w.known = true;
+    w.message = it->second.message;
+    w.attempts = it->second.attempts;
+  }
+  return w;
+}
+
 void Journal::release() {
   if (fd_ < 0) return;
   flush();
@@ -340,7 +378,7 @@
   size_ = sound_end;
   if (sound_end < data.size()) {
     recovered_.torn = true;
-    if (::ftruncate(fd_, static_cast<off_t>(sound_end)) != 0) fault("journal: cut the torn tail");
+    if (fd_ >= 0 && ::ftruncate(fd_, static_cast<off_t>(sound_end)) != 0) fault("journal: cut the torn tail");
   }
 }
 
@@ -371,6 +409,13 @@
     epoch_ = std::max(epoch_, r.number());
     return;
   }
+  if (type == kVersion) {
+    const auto number = static_cast<std::uint32_t>(r.number());
+    std::string text = r.text();
+    versions_bytes_ += sizeOfVersion(text);
+    versions_[number] = std::move(text);
+    return;
+  }
   if (type == kRules) {
     const std::int64_t number = r.number();
     return keepRules(number, std::make_shared<const MessageClass>(readRules(r)));
@@ -423,6 +468,7 @@
     JournaledAttempt a;
     a.endpoint = r.text();
     a.sent = r.number();
+    if (r.more()) a.version = static_cast<std::uint32_t>(r.number());
     e.attempts.push_back(a);
   } else if (type == kNeverRan) {
     const auto n = static_cast<std::size_t>(r.number());
@@ -449,7 +495,7 @@
 // What a compaction would write, at most.
 std::uint64_t Journal::liveBytes() const {
   return 3 * (kHeader + 16) + list_bytes_ + list_bytes_ / kBatch * (kHeader + 17) +
-         ailments_.size() * kAilment + past_bytes_ + entry_bytes_ + rules_bytes_;
+         ailments_.size() * kAilment + past_bytes_ + entry_bytes_ + rules_bytes_ + versions_bytes_;
 }
 
 // Guards against a message that is taken on and then can't be kept. Right after a compaction the file holds
@@ -502,7 +548,17 @@
 void Journal::neverRan(const std::string& id, std::size_t attempt) { append(neverRanPayload(id, attempt)); }
 void Journal::noticeOwed(const std::string& id, const Notice& n) { append(owedPayload(id, n)); }
 void Journal::over(const std::string& id, const Past& past) {
-  if (entries_.count(id)) append(endedPayload(id, past));
+  const auto it = entries_.find(id);
+  if (it == entries_.end()) return;
+  Past kept = past;
+  if (!it->second.attempts.empty()) kept.version = it->second.attempts.back().version;
+  append(endedPayload(id, kept));
+}
+std::uint32_t Journal::versionOf(const std::string& text) {
+  if (!versions_.empty() && versions_.rbegin()->second == text) return versions_.rbegin()->first;
+  const std::uint32_t number = versions_.empty() ? 1 : versions_.rbegin()->first + 1;
+  append(versionPayload(number, text));
+  return number;
 }
 void Journal::drop(const std::string& id) {
   if (entries_.count(id)) append(Writer(kOver).text(id).out());
@@ -511,12 +567,14 @@
 void Journal::remember(const std::string& id, const Past& past) {
   const auto known = past_at_.find(id);
   if (known != past_at_.end()) {
+    past_bytes_ -= sizeOfPast(id, *known->second);
+    past_bytes_ += sizeOfPast(id, past);
     *known->second = past;
     return;
   }
   past_.emplace_back(id, past);
   past_at_[past_.back().first] = &past_.back().second;
-  past_bytes_ += sizeOfPast(id);
+  past_bytes_ += sizeOfPast(id, past);
 }
 const Past* Journal::past(const std::string& id) const {
   const auto it = past_at_.find(id);
@@ -525,7 +583,7 @@
 void Journal::forgetPast(Micros now) {
   while (!past_.empty() && past_.front().second.until <= now) {
     const std::string& id = past_.front().first;
-    past_bytes_ -= sizeOfPast(id);
+    past_bytes_ -= sizeOfPast(id, past_.front().second);
     past_at_.erase(id);
     past_.pop_front();
   }
@@ -632,6 +690,19 @@
   }
   if (ends.out().size() > 1) frame(data, ends.out());
   // Rules that no message has any more are left out, and forgotten.
+  std::set<std::uint32_t> versions;
+  if (!versions_.empty()) versions.insert(versions_.rbegin()->first);  // no number comes twice
+  for (const auto& [id, past] : past_) versions.insert(past.version);
+  for (const Entry* e : order)
+    for (const JournaledAttempt& a : e->attempts) versions.insert(a.version);
+  std::map<std::uint32_t, std::string> kept_versions;
+  std::uint64_t kept_bytes = 0;
+  for (const auto& [number, text] : versions_) {
+    if (!versions.count(number)) continue;
+    frame(data, versionPayload(number, text));
+    kept_versions.emplace(number, text);
+    kept_bytes += sizeOfVersion(text);
+  }
   std::set<std::int64_t> used;
   for (const Entry* e : order)
     if (e->message.rules) used.insert(rules_at_.at(e->message.rules.get()));
@@ -658,6 +729,8 @@
   fd_ = fd;
   size_ = data.size();
   buffer_.clear();
+  versions_ = std::move(kept_versions);
+  versions_bytes_ = kept_bytes;
   for (auto it = rules_.begin(); it != rules_.end();) {
     if (used.count(it->first)) {
       ++it;
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -20,6 +20,7 @@
   std::string endpoint;
   Micros sent = 0;  // Unix time
   bool never_ran = false;
+  std::uint32_t version = 0;  // that it was decided under; 0: none was kept
 };
 
 struct Notice {
@@ -31,9 +32,10 @@
 // A message that is over, kept as long as its id may come again.
 struct Past {
   End end;
-  std::uint64_t digest = 0;  // of its content
-  Micros until = 0;          // Unix time
-  bool by_fnv = false;       // the digest is of a version before 0.4, see digestByFnv()
+  std::uint64_t digest = 0;   // of its content
+  Micros until = 0;           // Unix time
+  bool by_fnv = false;        // the digest is of a version before 0.4, see digestByFnv()
+  std::uint32_t version = 0;  // of its last attempt; 0: none was kept
 };
 
 class Journal {
@@ -57,6 +59,16 @@
   // Opens or creates the journal in `folder`. Throws std::runtime_error when that can't be done.
   Journal(const std::string& folder, std::uint64_t disk_bytes);
   ~Journal();
+  // What a journal holds of one message, read without a change to it, also while a process owns it.
+  struct Witness {
+    bool known = false, ended = false;
+    TakenOn message;                         // while it is open
+    std::vector<JournaledAttempt> attempts;  // the same
+    Past past;                               // once it has ended
+    std::map<std::uint32_t, std::string> versions;
+  };
+  // Throws std::runtime_error when the file can't be read.
+  static Witness look(const std::string& folder, const std::string& id);
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
@@ -74,6 +86,9 @@
   // flush, by when the message is either taken on or refused. False: there is none.
   bool reserve(const TakenOn& m);
 
+  // The number by which attempts name a version; written once for all that have the same.
+  std::uint32_t versionOf(const std::string& text);
+
   // Each of these appends to a buffer; flush() writes it. False: nothing was written, the buffer waits for
   // the next flush, and what it promises must not be done.
   void accepted(const TakenOn& m);  // with the rules of its class, once for all that have the same
@@ -106,6 +121,7 @@
   void forgetPast(Micros now);  // Unix time: what may not come again
 
  private:
+  Journal() = default;
   bool claim();
   std::uint64_t room() const { return disk_ > beside_ ? disk_ - beside_ : 0; }
   void remember(const std::string& id, const Past& past);
@@ -135,6 +151,8 @@
   std::unordered_map<const MessageClass*, std::int64_t> rules_at_;
   std::int64_t next_rules_ = 0;
   std::uint64_t rules_bytes_ = 0;
+  std::map<std::uint32_t, std::string> versions_;  // the last, and those that attempts name
+  std::uint64_t versions_bytes_ = 0;
   std::unordered_map<std::string, Entry> entries_;
   std::uint64_t entry_bytes_ = 0;  // of those, with what each is seen through by
   // Ends in the order in which they may be forgotten, and where each stands (a deque moves none of them).
--- /dev/null
+++ b/src/core/right.h
@@ -0,0 +1,23 @@
+// grademux: what this process may do now, where something beside it can end that: the plan of a fleet. Nobody
+// stands behind this on a platform; there a process may always act.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace grademux {
+
+class Right {
+ public:
+  virtual ~Right() = default;
+  // Whether messages may be taken on and calls begun at this moment. Asked on the loop thread: in each turn
+  // before what comes in is written, and again right before the first byte of each call. Once it says no, the
+  // host refuses what is new and starts nothing; what it has taken on keeps its one end.
+  virtual bool holds() = 0;
+  // The version that this process acts by, as a text; the same text as long as nothing of it has changed.
+  virtual const std::string& version() = 0;
+  // What a call carries of it; empty: nothing. `number`: of the version, in this sender's journal.
+  virtual std::string stamp(std::int64_t number) = 0;
+};
+
+}  // namespace grademux
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -29,6 +29,16 @@
   return std::stoull(hex, nullptr, 16);
 }
 
+json readFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) bad("can't be read: " + path);
+  std::stringstream all;
+  all << file.rdbuf();
+  json o = json::parse(all.str(), nullptr, false);
+  if (!o.is_object()) bad("not a JSON object: " + path);
+  return o;
+}
+
 // The platform holds the listening socket over processes that replace one another.
 int passedSocket() {
   const std::string number = variable("GW_PASSED_SOCKET", "");
@@ -44,15 +54,16 @@
   return kSpareSockets + (c.mgmt.empty() ? 0 : static_cast<std::int64_t>(operate::kCallers) + 2);
 }
 
+Settings readSettingsOf(const std::string& path) {
+  Settings s = readSettings(object(readFile(path), "settings"));
+  validate(s);
+  return s;
+}
+
 Config readConfig() {
   const std::string path = variable("GW_CONFIG", "");
   if (path.empty()) bad("GW_CONFIG is not set");
-  std::ifstream file(path);
-  if (!file) bad("can't be read: " + path);
-  std::stringstream all;
-  all << file.rdbuf();
-  const json o = json::parse(all.str(), nullptr, false);
-  if (!o.is_object()) bad("not a JSON object: " + path);
+  const json o = readFile(path);
   Config c;
   c.path = path;
   c.name = variable("GW_NAME", text(o, "name", ""));
--- a/src/daemon/config.h
+++ b/src/daemon/config.h
@@ -20,6 +20,8 @@
   json file;  // as it was read, to tell what has changed
 };
 
+// The settings of a configuration file; throws std::exception naming what is wrong with it.
+Settings readSettingsOf(const std::string& path);
 Config readConfig();  // throws std::exception saying what is wrong
 
 // Descriptors that neither clients nor calls get.
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -106,8 +106,41 @@
   file.operators = listen;
 }
 
+void readFleet(Table& top, DaemonFile& file, std::vector<Mistake>& mistakes) {
+  const toml::node* n = top.node("fleet");
+  if (!n) return;
+  if (!n->is_table()) return top.expected("fleet", "a table is expected, begun by [fleet]");
+  Table t(*n->as_table(), "fleet", mistakes, &file.effective);
+  fleet::Spec f;
+  f.name = t.text("name", "");
+  if (f.name.find_first_of("/ \t\n") != std::string::npos)
+    t.expected("name", "a name without spaces and slashes is expected");
+  f.store = t.texts("store");
+  if (f.store.empty()) t.expected("store", "addresses of the store are expected, as [\"127.0.0.1:8500\"]");
+  for (const std::string& a : f.store)
+    if (!isEndpointAddress(a)) t.expected("store", "an address and a port are expected, not \"" + a + "\"");
+  f.prefix = t.text("prefix", f.prefix);
+  // By the store's specification: 10 s to a day.
+  f.session = t.span("session", f.session, 10'000'000, 24LL * 3600 * 1'000'000);
+  f.stamp = t.truth("stamp", f.stamp);
+  f.trail.bytes =
+      static_cast<std::uint64_t>(t.size("trail", static_cast<std::int64_t>(f.trail.bytes), 65536, 1LL << 40));
+  f.trail.age = t.span("trail_age", f.trail.age, 60'000'000, 3650LL * 24 * 3600 * 1'000'000);
+  t.unknown(" in fleet");
+  file.fleet = std::move(f);
+}
+
 }  // namespace
 
+std::string DaemonFile::shared() const {
+  static const std::set<std::string> kOwn = {"door.listen", "operators.listen", "journal.folder", "log.file",
+                                             "fleet.name"};
+  std::string all;
+  for (const Effective& e : effective)
+    if (!kOwn.count(e.key)) all += e.key + " = " + e.value + "\n";
+  return all;
+}
+
 std::int64_t DaemonFile::connections() const {
   std::int64_t sum = 0;
   for (const DoorSpec& d : doors) sum += static_cast<std::int64_t>(d.limits.connections);
@@ -132,6 +165,7 @@
     }
     readKnowledge(top, file.site.has_value(), file, mistakes);
     readOperators(top, file, mistakes);
+    readFleet(top, file, mistakes);
     top.unknown("");
   } catch (const toml::parse_error& e) {
     mistakes.push_back({e.source().begin.line, e.source().begin.column,
--- a/src/daemon/daemon_file.h
+++ b/src/daemon/daemon_file.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "../doors/http/server.h"
+#include "../fleet/part.h"
 #include "../knowledge/keeper.h"
 #include "../log/log.h"
 #include "site.h"
@@ -29,8 +30,11 @@
   log::Spec log;
   knowledge::KeeperSpec knowledge;
   std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call
+  std::optional<fleet::Spec> fleet;                         // the fleet that this sender is in
   std::optional<Site> site;          // there if the program can stand alone by this file
   std::vector<Effective> effective;  // every value, in the order of reading
+  // What is the same in the files of all senders of a fleet, as it is in force: all but names and places.
+  std::string shared() const;
   // Connections of all doors together.
   std::int64_t connections() const;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,10 +7,14 @@
 #include <fstream>
 #include <iostream>
 
+#include "../audit/command.h"
+#include "../fleet/command.h"
 #include "../knowledge/command.h"
 #include "../membership/partners.h"
 #include "../net/address.h"
+#include "fleet_part.h"
 #include "service.h"
+#include "version.h"
 
 using namespace grademux;
 
@@ -137,11 +141,139 @@
   return 0;
 }
 
+// The commands on a fleet: the same options on most of them.
+struct FleetCommands {
+  CLI::App *status, *show, *propose, *bind, *halt, *revert, *out, *in, *audit, *digest;
+  std::string daemon, name, at, strictness, config;
+  fleet::Where where;
+  fleet::Change change;
+  audit::Question question;
+  double lease_s = 0, binds_s = 0;
+  bool as_json = false;
+
+  explicit FleetCommands(CLI::App& app) {
+    CLI::App* top =
+        app.add_subcommand("fleet", "the fleet's plan, its senders, and what is on record of them");
+    status = on(top, "status", "the plan and how each sender stands to it");
+    status->add_flag("--json", as_json, "as one JSON object");
+    CLI::App* plan = top->add_subcommand("plan", "the one document that all senders agree on");
+    show = on(plan, "show", "prints it");
+    show->add_flag("--json", as_json, "as one JSON object");
+    propose = why(on(plan, "propose", "puts a plan that asks for something else in place"));
+    propose->add_option("--like", change.like, "asks for the settings and daemon file of this sender");
+    propose->add_option("--settings", change.settings, "a digest; '' for any");
+    propose->add_option("--daemon-file", change.daemon, "a digest; '' for any");
+    propose->add_option("--program", change.program, "the least version; '' for any");
+    propose->add_option("--list", change.list, "the least version of the list of endpoints");
+    propose->add_option("--mode", strictness, "strict: a sender whose lease has ended stops")
+        ->check(CLI::IsMember({"strict", "lenient"}));
+    propose->add_option("--lease", lease_s, "seconds that a sender acts on one read")
+        ->check(CLI::Range(1.0, 3600.0));
+    propose->add_option("--binds-after", binds_s, "seconds; no less than the lease before")
+        ->check(CLI::Range(0.0, 86400.0));
+    propose
+        ->add_option("--most-shut-out", change.most_shut_out,
+                     "share of the senders; past it the plan is halted")
+        ->check(CLI::Range(0.0, 1.0));
+    bind = why(on(plan, "bind", "asks for the same, and is strict"));
+    halt = why(on(plan, "halt", "the needs of the plan before; this one went wrong"));
+    revert = why(on(plan, "revert", "the needs of the plan before"));
+    plan->require_subcommand(1);
+    out = why(on(top, "shut-out", "a sender takes on nothing and calls nobody until it is readmitted"));
+    in = why(on(top, "readmit", "takes that back"));
+    for (CLI::App* a : {out, in}) a->add_option("NAME", name, "the sender")->required();
+    audit =
+        top->add_subcommand("audit", "who acted by what, from trails and journals, also of senders that run");
+    audit->add_option("FOLDER", question.folders, "state folders of senders")->required();
+    audit->add_option("--at", at, "how each stood then: 2026-12-01T10:00:00Z, or seconds since 1970");
+    audit->add_option("--message", question.message, "under what its attempts were decided");
+    audit->add_option("--version", question.plan, "who took this plan over, and when");
+    audit->add_option("--sender", question.sender, "of this one alone");
+    audit->add_flag("--gaps", question.gaps, "only what is not known");
+    audit->add_flag("--json", question.as_json, "a JSON object a line");
+    digest = top->add_subcommand("digest", "what a plan asks for when it asks for these files");
+    digest->add_option("--config", config, "a platform's configuration, for its settings")->type_name("FILE");
+    digest->add_option("--daemon", daemon, "a daemon file")->type_name("FILE");
+    top->require_subcommand(1);
+  }
+
+  // The exit status; none if it was another command.
+  std::optional<int> run() {
+    try {
+      if (audit->parsed()) {
+        if (!at.empty() && !(question.at = audit::readTime(at)))
+          throw std::runtime_error("--at: 2026-12-01T10:00:00Z or seconds since 1970 are expected, not " +
+                                   at);
+        return audit::audit(question);
+      }
+      if (digest->parsed()) return digests();
+      const auto asked = {status, show, propose, bind, halt, revert, out, in};
+      if (std::none_of(asked.begin(), asked.end(), [](CLI::App* a) { return a->parsed(); }))
+        return std::nullopt;
+      place();
+      if (!strictness.empty()) change.strict = strictness == "strict";
+      if (lease_s > 0) change.lease = static_cast<Micros>(lease_s * 1e6);
+      if (propose->count("--binds-after") > 0) change.binds_after = static_cast<Micros>(binds_s * 1e6);
+      if (status->parsed()) return fleet::status(where, as_json);
+      if (show->parsed()) return fleet::showPlan(where, as_json);
+      if (propose->parsed()) return fleet::propose(where, change);
+      if (bind->parsed()) return fleet::bind(where, change);
+      if (out->parsed() || in->parsed()) return fleet::shutOut(where, change, name, out->parsed());
+      return fleet::revert(where, change, halt->parsed());
+    } catch (const std::exception& e) {
+      std::cerr << "grademux: " << e.what() << '\n';
+      return 1;
+    }
+  }
+
+ private:
+  CLI::App* on(CLI::App* parent, const char* word, const char* says) {
+    CLI::App* a = parent->add_subcommand(word, says);
+    a->add_option("--daemon", daemon, "the daemon file, whose [fleet] names the store")->type_name("FILE");
+    a->add_option("--store", where.store, "addresses of the store, in place of the file's");
+    a->add_option("--prefix", where.prefix, "of the fleet's keys (grademux)");
+    return a;
+  }
+  CLI::App* why(CLI::App* a) {
+    a->add_option("--why", change.why, "stands in the plan and in every trail")->required();
+    a->add_option("--by", change.by, "who says so (user@host)");
+    return a;
+  }
+  int digests() const {
+    if (config.empty() && daemon.empty())
+      throw std::runtime_error("--config FILE or --daemon FILE is expected");
+    DaemonFile file;
+    if (!daemon.empty()) {
+      std::vector<Mistake> mistakes;
+      file = readDaemonFile(daemon, mistakes);
+      if (!mistakes.empty()) throw std::runtime_error(mistakes[0].in(daemon));
+    }
+    Config of;
+    if (!config.empty()) of.settings = readSettingsOf(config);
+    else if (file.site) of.settings = file.site->settings;
+    const fleet::Own own = ownOf(of, file);
+    if (!config.empty() || file.site) std::cout << "settings " << own.settings << '\n';
+    if (!daemon.empty()) std::cout << "daemon-file " << own.daemon << '\n';
+    return 0;
+  }
+  void place() {
+    if (!daemon.empty()) {
+      std::vector<Mistake> mistakes;
+      const DaemonFile file = readDaemonFile(daemon, mistakes);
+      if (!mistakes.empty()) throw std::runtime_error(mistakes[0].in(daemon));
+      if (!file.fleet) throw std::runtime_error(daemon + " has no [fleet]");
+      if (where.store.empty()) where.store = file.fleet->store;
+      where.prefix = file.fleet->prefix;
+    }
+    if (where.store.empty()) throw std::runtime_error("--daemon FILE or --store HOST:PORT is expected");
+  }
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
   CLI::App app{"grademux: a sender of outbound messages. GW_CONFIG and GW_STATE tell it of its platform."};
-  app.set_version_flag("--version", GRADEMUX_VERSION);
+  app.set_version_flag("--version", programVersion());
   std::string daemon, file;
   app.add_option("--daemon", daemon, "the daemon file (TOML) with the product's own features")
       ->type_name("FILE");
@@ -171,10 +303,12 @@
   forgets->add_option("FOLDER", state, "the folder of the journal")->required();
   forgets->add_option("--destination", which, "a partner's name, or a number; without it all");
   knows->require_subcommand(1);
+  FleetCommands fleet_commands(app);
   app.require_subcommand(0, 1);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) { return app.exit(e) == 0 ? 0 : kUnusable; }
+  if (const auto done = fleet_commands.run()) return *done;
   recording.most_bytes = most_mb << 20;
   if (inits->parsed()) return init(folder);
   if (shows->parsed()) return knowledge::show(state, as_json);
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -25,7 +25,9 @@
 #include "../operate/door.h"
 #include "../replay/recorder.h"
 #include "doors.h"
+#include "fleet_part.h"
 #include "notify.h"
+#include "version.h"
 
 namespace grademux {
 
@@ -135,7 +137,7 @@
       listen += address.str();
     }
     log::write(log::Event::daemon_ready,
-               {{"version", GRADEMUX_VERSION}, {"listen", listen}, {"partners", partners()}});
+               {{"version", programVersion()}, {"listen", listen}, {"partners", partners()}});
   }
 
  private:
@@ -199,6 +201,14 @@
         [this] { return journal_->spare(); }, [this](std::uint64_t bytes) { journal_->beside(bytes); });
     journal_->onTight([this] { return keeper_->giveWay(); });
     host_->onAilment([this] { keeper_->soon(); });
+    if (daemon_.fleet) {
+      fleet_ = std::make_unique<FleetPart>(
+          io_, worker_, *daemon_.fleet, config_, daemon_, journal_->epoch(),
+          [this] { return host_->version(); }, [this](bool list) { return catchUp(list); },
+          [this](bool may, const std::string& why) { mayAct(may, why); });
+      host_->bind(&fleet_->right());
+      carrier_->setGuard([this] { return fleet_->right().holds(); });
+    }
     if (given) calls_->inherit(given->out);
     host_->recover(config_.known, keeper_->read(), calls_->inherited());
     if (given && given->standby) state_.inheritStandby();
@@ -213,11 +223,31 @@
     if (clients_) clients_->start(*admission_, state_);
     doors_.start(*admission_, state_);
     state_.ready();
+    if (fleet_) fleet_->start(taker_ ? "handover" : "start");
     if (config_.passed >= 0) giver_ = std::make_unique<handover::Giver>(io_, lock_.fd(), owner());
     tellReady();
     if (reload_due_) reload();
   }
 
+  // ---- the fleet's plan
+
+  void mayAct(bool may, const std::string& why) {
+    if (may) {
+      state_.letIn();
+      return host_->open();
+    }
+    state_.shutOut(why);
+    host_->close();
+    sendAway(Leaving::standby);
+  }
+
+  // Reads again what the plan asks for and this sender lacks; what can't be used is told to the fleet.
+  std::string catchUp(bool list) {
+    reload();
+    if (list && watcher_) watcher_->start(-1);
+    return refused_;
+  }
+
   // ---- replaced by another process
 
   handover::Giver::Owner owner() {
@@ -250,6 +280,7 @@
 
   handover::Given give() {
     if (watcher_) watcher_->pause();
+    if (fleet_) fleet_->release("handed over");
     if (daemon_.knowledge.keep) keeper_->finish(host_->learned());
     host_->suspend();
     carrier_->closeAllIdle();
@@ -266,6 +297,10 @@
       for (Outcome& o : std::exchange(unreported_, {})) host_->outcome(std::move(o));
       keeper_->resume();
       if (watcher_) watcher_->start(host_->version());
+      if (fleet_) {
+        fleet_->again();
+        host_->bind(&fleet_->right());
+      }
     }
     if (clients_) clients_->resume();
     doors_.retake();
@@ -314,7 +349,12 @@
 
   // What can't be read or used leaves the old configuration in force, each file by itself.
   void reload() {
-    if (alone()) return reloadDaemonFile();
+    refused_.clear();
+    if (alone()) {
+      reloadDaemonFile();
+      if (fleet_) fleet_->brought(config_, daemon_, refused_);
+      return;
+    }
     try {
       Config fresh = readConfig();
       const std::string lacks = missingSetting(config_, fresh);
@@ -335,9 +375,11 @@
       config_ = std::move(fresh);
     } catch (const std::exception& e) {
       log::write(log::Event::daemon_config_refused, {{"cause", e.what()}});
+      refused_ = config_.path + ": " + e.what();
     }
     if (!daemon_.path.empty()) reloadDaemonFile();
     membership_->refresh();
+    if (fleet_) fleet_->brought(config_, daemon_, refused_);
   }
 
   // Whole, in one step between two turns: what comes after it is bound by the new settings.
@@ -378,6 +420,8 @@
       std::string later = alone() ? needsRestart(*daemon_.site, *fresh.site) : "";
       if (fresh.operators != daemon_.operators) later += later.empty() ? "operators" : ", operators";
       fresh.operators = daemon_.operators;
+      if (FleetPart::differs(fresh.fleet, daemon_.fleet)) later += later.empty() ? "fleet" : ", fleet";
+      fresh.fleet = daemon_.fleet;
       if (alone()) {
         if (!sameSettings(*daemon_.site, *fresh.site)) {
           retune(config);
@@ -396,6 +440,7 @@
                  {{"doors", doors_.count()}, {"partners", partners()}, {"needs_restart", later}});
     } catch (const std::exception& e) {
       log::write(log::Event::daemon_file_refused, {{"cause", e.what()}, {"mistakes", mistakes.size()}});
+      refused_ = e.what();
     }
   }
 
@@ -407,6 +452,7 @@
     state_.stop("SIGTERM");
     if (!host_) return io_.stop();  // it has not begun: nothing is owed
     if (!host_->suspended()) {
+      if (fleet_) fleet_->leave();
       sendAway(Leaving::stopping);
       admission_->drain();
       host_->stopAt(stop_from_ + kStopAfter);
@@ -424,6 +470,7 @@
     if (quiet || since >= kStopAfter) {
       signals_.cancel();
       if (daemon_.knowledge.keep && !replaced) keeper_->finish(host_->learned());
+      if (fleet_) fleet_->release("stopped");
       return static_cast<boost::asio::io_context&>(look_.get_executor().context()).stop();
     }
     look_.expires_after(std::chrono::microseconds(kLook));
@@ -444,6 +491,7 @@
   handover::FolderLock lock_;        // outlives the journal
   std::vector<Outcome> unreported_;  // since the folder was given, for the way back
   bool reload_due_ = false;
+  std::string refused_;  // why a file can't be used, at the last look
   std::unique_ptr<replay::Recorder> recorder_;
   std::unique_ptr<Journal> journal_;
   std::unique_ptr<EndNotices> notices_;
@@ -451,6 +499,7 @@
   std::unique_ptr<HttpCarrier> carrier_;
   std::unique_ptr<handover::InheritedCalls> calls_;
   std::unique_ptr<handover::Taker> taker_;
+  std::unique_ptr<FleetPart> fleet_;
   std::unique_ptr<Host> host_;
   std::unique_ptr<knowledge::Keeper> keeper_;
   std::unique_ptr<Admission> admission_;
--- /dev/null
+++ b/src/fleet/command.cpp
@@ -0,0 +1,266 @@
+// grademux fleet: the operators' commands; see command.h.
+#include "command.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <ctime>
+#include <iostream>
+#include <stdexcept>
+
+#include "../core/clock.h"
+#include "consul.h"
+
+namespace grademux::fleet {
+
+namespace {
+
+using Ask = std::function<void(Store&, Store::Done)>;
+
+// One call, tried at each address once, and one more time where that says nothing.
+Answered call(const Where& where, const Ask& ask) {
+  boost::asio::io_context io;
+  Consul store(io, where.store);
+  Answered last;
+  for (std::size_t tries = 0; tries <= where.store.size() && !last.ok; ++tries) {
+    io.restart();
+    bool over = false;
+    ask(store, [&](const Answered& a) {
+      last = a;
+      over = true;
+    });
+    while (!over && io.run_one() > 0) continue;
+  }
+  if (!last.ok) throw std::runtime_error("the store does not answer: " + last.why);
+  return last;
+}
+
+struct Known {
+  Plan plan;  // number 0: none
+  std::int64_t changed = 0;
+  std::vector<Report> senders;
+  Micros clock = 0;
+};
+
+Known look(const Where& where) {
+  const Spec spec{"", where.store, where.prefix, 0, false, {}};
+  Known k;
+  const Answered all =
+      call(where, [&](Store& s, Store::Done done) { s.list(where.prefix + "/", std::move(done)); });
+  k.clock = all.clock;
+  for (const Entry& e : all.entries) {
+    if (e.key == spec.planKey()) {
+      k.plan = readPlan(json::parse(e.value));
+      k.changed = e.changed;
+    } else if (e.key.compare(0, spec.senders().size(), spec.senders()) == 0) {
+      try {
+        k.senders.push_back(readReport(json::parse(e.value)));
+        k.senders.back().live = !e.session.empty();
+      } catch (const std::exception& wrong) {
+        std::cerr << "grademux: " << e.key << " is no report: " << wrong.what() << '\n';
+      }
+    }
+  }
+  return k;
+}
+
+std::string timeText(Micros at) {
+  if (at <= 0) return "-";
+  const std::time_t t = at / 1'000'000;
+  std::tm parts{};
+  char text[32];
+  ::gmtime_r(&t, &parts);
+  std::strftime(text, sizeof text, "%Y-%m-%d %H:%M:%SZ", &parts);
+  return text;
+}
+
+std::string whoAmI() {
+  char host[256] = "";
+  ::gethostname(host, sizeof host - 1);
+  const char* user = std::getenv("USER");
+  return std::string(user && *user ? user : "operator") + "@" + host;
+}
+
+std::string needsText(const Needs& n) {
+  std::string all;
+  const auto add = [&](const std::string& what, const std::string& value) {
+    if (!value.empty()) all += (all.empty() ? "" : ", ") + what + " " + value;
+  };
+  add("program", n.program);
+  add("settings", n.settings);
+  add("daemon file", n.daemon);
+  if (n.list >= 0) add("list", std::to_string(n.list));
+  return all.empty() ? "nothing" : all;
+}
+
+// The senders that the plan is waited for from: those that live and are not shut out by word.
+std::size_t behind(const Known& k) {
+  return static_cast<std::size_t>(std::count_if(k.senders.begin(), k.senders.end(), [&](const Report& r) {
+    return r.live && !k.plan.shut_out.count(r.name) && r.own.plan < k.plan.number;
+  }));
+}
+
+std::string planText(const Known& k) {
+  const Plan& p = k.plan;
+  if (p.number == 0) return "no plan\n";
+  std::string text = "plan " + std::to_string(p.number) + (p.halted ? " HALTED" : "") + ", " +
+                     (p.strict ? "strict" : "lenient") + ", lease " + std::to_string(p.lease / 1000) +
+                     " ms, binds after " + std::to_string(p.binds_after / 1000) + " ms\n  asks for " +
+                     needsText(p.needs) + "\n  by " + p.by + " at " + timeText(p.at) + ": " + p.why + "\n";
+  for (const std::string& name : p.shut_out) text += "  shut out by word: " + name + "\n";
+  for (const std::string& f : p.unknown) text += "  a field this program does not know: " + f + "\n";
+  const Micros binds = p.at + p.binds_after;
+  if (p.strict && k.clock > 0)
+    text += binds > k.clock ? "  binds in " + std::to_string((binds - k.clock) / 1'000'000) + " s\n"
+                            : "  binds\n";
+  return text;
+}
+
+// What the next plan follows. No number is used twice, and no lease forgotten that a sender may act on still,
+// where the store has lost what it knew.
+Plan latest(const Known& k) {
+  Plan now = k.plan;
+  for (const Report& r : k.senders) {
+    now.number = std::max({now.number, r.own.plan, r.heard});
+    if (r.own.plan > k.plan.number) now.lease = std::max(now.lease, r.lease);
+  }
+  return now;
+}
+
+// By compare-and-swap: of two operators one wins, and the other is told by whom and with what.
+int put(const Where& where, const Known& known, const Plan& next) {
+  readPlan(shown(next));  // the bounds of its fields
+  const std::string wrong = refuses(latest(known), next);
+  if (!wrong.empty())
+    throw std::runtime_error("plan " + std::to_string(next.number) + " is refused: " + wrong);
+  const Spec spec{"", where.store, where.prefix, 0, false, {}};
+  // An answer that was lost says nothing: what stands there then is what counts.
+  std::string lost;
+  Answered a;
+  try {
+    a = call(where, [&](Store& s, Store::Done done) {
+      s.swap(spec.planKey(), shown(next).dump(), known.changed, std::move(done));
+    });
+  } catch (const std::exception& e) { lost = e.what(); }
+  if (!a.done) {
+    const Known now = look(where);
+    if (digestOf(now.plan) != digestOf(next)) {
+      if (now.changed == known.changed)
+        throw std::runtime_error(lost.empty() ? "the store took nothing" : lost);
+      std::cerr << "grademux: not done: meanwhile " << now.plan.by << " made plan " << now.plan.number << " ("
+                << now.plan.why << "), which asks for " << needsText(now.plan.needs) << '\n';
+      return 1;
+    }
+  }
+  Known done = known;
+  done.plan = next;
+  done.clock = 0;
+  std::cout << planText(done);
+  return 0;
+}
+
+Plan after(const Known& k, const Change& c) {
+  if (c.why.empty()) throw std::runtime_error("--why is expected: it stands in the plan and in every trail");
+  Plan next = following(latest(k), c.by.empty() ? whoAmI() : c.by, c.why, unixNow());
+  if (c.strict) next.strict = *c.strict;
+  if (c.lease) next.lease = *c.lease;
+  if (c.binds_after) next.binds_after = *c.binds_after;
+  if (c.most_shut_out) next.most_shut_out = *c.most_shut_out;
+  return next;
+}
+
+}  // namespace
+
+int status(const Where& where, bool as_json) {
+  const Known k = look(where);
+  if (as_json) {
+    json senders = json::array();
+    for (const Report& r : k.senders) {
+      senders.push_back(shown(r));
+      senders.back()["live"] = r.live;
+    }
+    std::cout << json{{"plan", k.plan.number > 0 ? shown(k.plan) : json()},
+                      {"behind", behind(k)},
+                      {"senders", std::move(senders)}}
+                     .dump()
+              << '\n';
+    return 0;
+  }
+  std::cout << planText(k);
+  std::size_t live = 0, widest = 6;
+  for (const Report& r : k.senders) {
+    live += r.live;
+    widest = std::max(widest, r.name.size());
+  }
+  const auto cell = [](std::string s, std::size_t width) {
+    s.resize(std::max(s.size(), width), ' ');
+    return s + "  ";
+  };
+  if (!k.senders.empty())
+    std::cout << cell("sender", widest) << cell("standing", 11) << cell("plan", 6) << cell("program", 8)
+              << cell("settings", 16) << cell("daemon file", 16) << cell("list", 6) << cell("since", 20)
+              << cell("last seen", 20) << "why\n";
+  for (const Report& r : k.senders)
+    std::cout << cell(r.name, widest) << cell(r.live || r.standing == "shut out" ? r.standing : "gone", 11)
+              << cell(std::to_string(r.own.plan), 6) << cell(r.own.program, 8) << cell(r.own.settings, 16)
+              << cell(r.own.daemon, 16) << cell(r.own.list < 0 ? "-" : std::to_string(r.own.list), 6)
+              << cell(timeText(r.since), 20) << cell(timeText(r.at), 20) << r.why << '\n';
+  std::cout << live << " of " << k.senders.size() << " senders live, " << behind(k) << " behind\n";
+  return 0;
+}
+
+int showPlan(const Where& where, bool as_json) {
+  const Known k = look(where);
+  std::cout << (as_json ? shown(k.plan).dump() + "\n" : planText(k));
+  return k.plan.number > 0 ? 0 : 1;
+}
+
+int propose(const Where& where, const Change& c) {
+  const Known k = look(where);
+  Plan next = after(k, c);
+  if (!c.like.empty()) {
+    const auto of =
+        std::find_if(k.senders.begin(), k.senders.end(), [&](const Report& r) { return r.name == c.like; });
+    if (of == k.senders.end()) throw std::runtime_error("no sender " + c.like + " has reported");
+    next.needs.settings = of->own.settings;
+    next.needs.daemon = of->own.daemon;
+  }
+  if (c.settings) next.needs.settings = *c.settings;
+  if (c.daemon) next.needs.daemon = *c.daemon;
+  if (c.program) next.needs.program = *c.program;
+  if (c.list) next.needs.list = *c.list;
+  return put(where, k, next);
+}
+
+int bind(const Where& where, const Change& c) {
+  const Known k = look(where);
+  if (k.plan.number == 0) throw std::runtime_error("there is no plan to bind");
+  Plan next = after(k, c);
+  next.strict = true;
+  return put(where, k, next);
+}
+
+int revert(const Where& where, const Change& c, bool halt) {
+  const Known k = look(where);
+  if (k.plan.number == 0) throw std::runtime_error("there is no plan to go back from");
+  Plan next = after(k, c);
+  next.needs = next.before = k.plan.before;
+  next.halted = halt;
+  return put(where, k, next);
+}
+
+int shutOut(const Where& where, const Change& c, const std::string& name, bool out) {
+  const Known k = look(where);
+  Plan next = after(k, c);
+  const bool known =
+      std::any_of(k.senders.begin(), k.senders.end(), [&](const Report& r) { return r.name == name; });
+  if (out && !known) throw std::runtime_error("no sender " + name + " has reported");
+  if (out == (next.shut_out.count(name) > 0))
+    throw std::runtime_error(name + (out ? " is shut out already" : " is not shut out"));
+  if (out) next.shut_out.insert(name);
+  else next.shut_out.erase(name);
+  return put(where, k, next);
+}
+
+}  // namespace grademux::fleet
--- /dev/null
+++ b/src/fleet/command.h
@@ -0,0 +1,36 @@
+// grademux fleet: the operators' commands: what the fleet is at, and its plan. Each gives the exit status: 0,
+// or 1 when it was not done, with a line on standard error that says why.
+#pragma once
+
+#include <optional>
+
+#include "part.h"
+
+namespace grademux::fleet {
+
+struct Where {  // the store of a fleet
+  std::vector<std::string> store;
+  std::string prefix = "grademux";
+};
+
+// What of a new plan differs from the one in force.
+struct Change {
+  std::string by, why;
+  std::optional<std::string> settings, daemon, program;  // digests and version; empty: whatever a sender has
+  std::optional<std::int64_t> list;
+  std::string like;  // asks for what this sender acts by
+  std::optional<bool> strict;
+  std::optional<Micros> lease, binds_after;
+  std::optional<double> most_shut_out;
+};
+
+int status(const Where& where, bool as_json);
+int showPlan(const Where& where, bool as_json);
+int propose(const Where& where, const Change& change);
+// The needs as they are, and strict from now on.
+int bind(const Where& where, const Change& change);
+// The needs of the plan before; a halt is for a plan that goes wrong, and says so.
+int revert(const Where& where, const Change& change, bool halt);
+int shutOut(const Where& where, const Change& change, const std::string& name, bool out);
+
+}  // namespace grademux::fleet
--- /dev/null
+++ b/src/fleet/part.cpp
@@ -0,0 +1,452 @@
+// grademux fleet: one sender's part; see part.h.
+#include "part.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "../core/clock.h"
+#include "../core/file.h"
+#include "../log/log.h"
+
+namespace grademux::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Micros kLeastPause = 100'000, kMostPause = 4'000'000;  // after a call to the store that failed
+constexpr Micros kSpread = 200'000;  // before files are read again, over the fleet
+constexpr Micros kLeastTry = 500'000, kMostTry = 15'000'000;
+constexpr Micros kMostWait = 10'000'000;
+constexpr std::size_t kMostPlan = 1 << 20;
+
+std::string hostName() {
+  char name[256] = "";
+  return ::gethostname(name, sizeof name - 1) == 0 ? name : "";
+}
+
+}  // namespace
+
+std::string planFile(const Plan& plan) {
+  return json{{"plan", shown(plan)}, {"check", digestOf(plan)}}.dump() + "\n";
+}
+
+std::optional<Plan> keptPlan(const std::string& path) {
+  const int fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (fd < 0) return std::nullopt;
+  std::string bytes;
+  const bool read = readAll(fd, bytes, kMostPlan);
+  ::close(fd);
+  const json o = read ? json::parse(bytes, nullptr, false) : json();
+  if (!o.is_object() || !o.contains("plan")) return std::nullopt;
+  try {
+    Plan p = readPlan(o["plan"]);
+    if (digestOf(p) == text(o, "check", "")) return p;
+  } catch (const std::exception&) {}  // of another version, or damaged: the store knows better
+  return std::nullopt;
+}
+
+Part::Part(asio::io_context& io, Worker& worker, Spec spec, std::unique_ptr<Store> store,
+           const std::string& folder, std::int64_t epoch, std::uint64_t seed, Sender sender)
+    : io_(io),
+      worker_(worker),
+      spec_(std::move(spec)),
+      store_(std::move(store)),
+      plan_path_(folder + "/fleet-plan"),
+      epoch_(epoch),
+      sender_(std::move(sender)),
+      standing_(spec_.name),
+      pauses_(seed),
+      tries_(seed + 1),
+      process_(digestOf(std::to_string(::getpid()) + " " + std::to_string(boottimeNow()) + " " + hostName())),
+      trail_(std::make_shared<audit::Trail>(folder + "/trail", spec_.name, spec_.trail)),
+      ask_timer_(io),
+      look_timer_(io),
+      bring_timer_(io),
+      renew_timer_(io),
+      halt_timer_(io) {
+  if (const auto kept = keptPlan(plan_path_)) standing_.remember(*kept);
+}
+
+Part::~Part() { *alive_ = false; }
+
+void Part::start(const Own& own, const std::string& cause) {
+  own_ = own;
+  since_ = unixNow();
+  json record = {{"kind", "start"},
+                 {"cause", cause},
+                 {"epoch", epoch_},
+                 {"own", shown(this->own())},
+                 {"acting", standing_.acting().number}};
+  if (!trail_->aside().empty()) {
+    record["aside"] = trail_->aside();
+    log::write(log::Event::fleet_trail_aside, {{"folder", trail_->aside()}});
+  }
+  note(std::move(record));
+  look();
+  ask();
+}
+
+void Part::leave() {
+  if (leaving_ || released_) return;
+  leaving_ = true;
+  endSession();
+}
+
+void Part::release(const std::string& cause) {
+  if (released_) return;
+  note({{"kind", "end"},
+        {"cause", cause},
+        {"epoch", epoch_},
+        {"version", version_number_},
+        {"calls", version_calls_}});
+  released_ = true;
+  *alive_ = false;
+  for (Timer* t : {&ask_timer_, &look_timer_, &bring_timer_, &renew_timer_, &halt_timer_}) t->cancel();
+  // The process that goes on ends the session by its epoch; one that ends for good leaves that to its time.
+  worker_.run([trail = std::move(trail_)]() mutable -> std::function<void()> {
+    trail.reset();
+    return [] {};
+  });
+}
+
+void Part::after(Timer& timer, Micros span, std::function<void()> then) {
+  timer.expires_after(std::chrono::microseconds(span));
+  timer.async_wait([alive = alive_, then = std::move(then)](const boost::system::error_code& e) {
+    if (!e && *alive) then();
+  });
+}
+
+Own Part::own() const {
+  Own o = own_;
+  o.list = sender_.list();
+  o.plan = standing_.acting().number;
+  return o;
+}
+
+// ---- the plan
+
+void Part::ask() {
+  const Micros asked = boottimeNow();
+  const Micros wait = std::min(kMostWait, standing_.acting().lease / 5);
+  store_->read(spec_.planKey(), index_, wait, [this, alive = alive_, asked](const Answered& a) {
+    if (*alive) hear(a, asked);
+  });
+}
+
+void Part::hear(const Answered& a, Micros asked) {
+  std::string why = a.why;
+  bool news = false;
+  if (a.ok) {
+    index_ = a.index < index_ ? 0 : a.index;  // it goes back when the store was restored
+    if (a.clock > 0) {
+      ahead_ = a.clock + 500'000 - unixNow();
+      paired_ = true;
+    }
+    try {
+      Plan plan;
+      if (!a.entries.empty()) plan = readPlan(json::parse(a.entries[0].value));
+      const std::int64_t before = standing_.heardOf() ? standing_.newest().number : -1;
+      if (standing_.heard(plan, asked)) {
+        plan_changed_ = a.entries.empty() ? 0 : a.entries[0].changed;
+        news = plan.number != before;
+        if (news) {
+          log::write(log::Event::fleet_plan_heard,
+                     {{"plan", plan.number}, {"by", plan.by}, {"why", plan.why}});
+          note({{"kind", "heard"}, {"plan", shown(plan)}, {"digest", digestOf(plan)}});
+          tries_.succeeded();
+        }
+        lost_ = -1;
+      } else if (lost_ != plan.number) {  // the store may know nothing of this sender, nor of what it acts by
+        lost_ = plan.number;
+        reported_.clear();
+      }
+    } catch (const std::exception& e) { why = std::string("the plan can't be read: ") + e.what(); }
+  }
+  if (why.empty() == silent_) {  // once for each stretch
+    silent_ = !why.empty();
+    if (silent_) log::write(log::Event::fleet_store_silent, {{"cause", why}});
+    else log::write(log::Event::fleet_store_answers);
+    note({{"kind", silent_ ? "store silent" : "store answers"}, {"why", why}});
+  }
+  look();
+  if (released_) return;
+  if (!why.empty()) return after(ask_timer_, pauses_.next(kLeastPause, kMostPause), [this] { ask(); });
+  pauses_.succeeded();
+  // An answer that was not held back, for whatever reason, must not make a loop of it.
+  const bool held = boottimeNow() - asked >= kLeastPause || news;
+  if (held && index_ > 0) return ask();
+  after(ask_timer_, kLeastPause, [this] { ask(); });
+}
+
+// Called when anything may have changed: what the verdict is, and what has to follow from it.
+void Part::look() {
+  if (released_) return;
+  const Own now = own();
+  if (standing_.due(now)) takeOver();
+  const Standing::Verdict v = standing_.at(boottimeNow(), now);
+  until_ = v.until;
+  if (!told_ || v.may != may_) {
+    told_ = true;
+    may_ = v.may;
+    sender_.act(may_, v.why);
+  }
+  const std::string why = v.why + (v.why.empty() || refused_.empty() ? "" : "; " + refused_);
+  if (v.kind != kind_ || why != why_ || since_ == 0) {
+    if (v.kind != kind_) since_ = unixNow();
+    kind_ = v.kind;
+    why_ = why;
+    log::write(log::Event::fleet_standing,
+               {{"standing", nameOf(kind_)}, {"plan", standing_.acting().number}, {"why", why_}});
+    note({{"kind", "standing"}, {"standing", nameOf(kind_)}, {"why", why_}, {"own", shown(now)}});
+  }
+  publish();
+  const auto missing = standing_.lacking(now);
+  const bool here = std::any_of(missing.begin(), missing.end(), [](const Lack& l) {
+    return l.what == Lack::What::settings || l.what == Lack::What::daemon || l.what == Lack::What::list;
+  });
+  if (here && !bringing_) {
+    bringing_ = true;
+    after(bring_timer_, pauses_.within(kSpread), [this] { bringUp(); });
+  }
+  if (standing_.gone(boottimeNow()) >= 0.5 && may_ && !halting_) haltIfTooMany();
+  const Micros lease = standing_.acting().lease;
+  Micros next = lease / 8;
+  if (may_ && until_ < Standing::kNever) next = std::clamp<Micros>(until_ - boottimeNow(), 1000, next);
+  after(look_timer_, next, [this] { look(); });
+}
+
+// On disk first: a process that comes after this one must not go back to the plan before.
+void Part::takeOver() {
+  const Plan plan = standing_.newest();
+  if (taking_ == plan.number) return;
+  taking_ = plan.number;
+  worker_.run([this, alive = alive_, plan, path = plan_path_]() -> std::function<void()> {
+    const std::string failed = replaceFile(path, planFile(plan));
+    return [this, alive, plan, failed] {
+      if (!*alive) return;
+      taking_ = 0;
+      if (!failed.empty()) {
+        refused_ = "the plan can't be kept: " + failed;
+        return;  // looked at again soon
+      }
+      if (plan.number != standing_.newest().number && !lacks(own(), plan, spec_.name).empty()) return;
+      standing_.takenOver(plan);
+      refused_.clear();
+      note({{"kind", "taken over"}, {"plan", plan.number}, {"own", shown(own())}});
+      look();
+    };
+  });
+}
+
+void Part::bringUp() {
+  const auto missing = standing_.lacking(own());
+  if (missing.empty()) {
+    bringing_ = false;
+    tries_.succeeded();
+    return;
+  }
+  sender_.bring_up(missing);
+  if (released_) return;
+  if (standing_.lacking(own()).empty()) {
+    bringing_ = false;
+    tries_.succeeded();
+    return look();
+  }
+  after(bring_timer_, tries_.next(kLeastTry, kMostTry), [this] { bringUp(); });
+}
+
+void Part::brought(const Own& own, const std::string& refused) {
+  if (released_) return;
+  const bool other = own.settings != own_.settings || own.daemon != own_.daemon;
+  own_ = own;
+  if (other || refused != refused_)
+    note({{"kind", "files"}, {"own", shown(this->own())}, {"refused", refused}});
+  refused_ = refused;
+  look();
+}
+
+// A plan that too many can't follow would shut them out together: any of them puts the one before in its
+// place, and the operator decides.
+void Part::haltIfTooMany() {
+  halting_ = true;
+  const Plan plan = standing_.newest();
+  const std::int64_t changed = plan_changed_;
+  const auto rest = [this] {
+    after(halt_timer_, std::max(kLeastPause, standing_.acting().lease / 16), [this] { halting_ = false; });
+  };
+  store_->list(spec_.senders(), [this, alive = alive_, plan, changed, rest](const Answered& a) {
+    if (!*alive) return;
+    std::vector<Report> all;
+    for (const Entry& e : a.entries) {
+      try {
+        all.push_back(readReport(json::parse(e.value)));
+        all.back().live = !e.session.empty();
+      } catch (const std::exception&) {}  // not a sender of ours
+    }
+    std::string names;
+    if (!a.ok || plan.number != standing_.newest().number || !tooManyBehind(plan, all, names)) return rest();
+    const Plan halt =
+        halting(plan, spec_.name,
+                "plan " + std::to_string(plan.number) + " would shut out too many: " + names, unixNow());
+    store_->swap(spec_.planKey(), shown(halt).dump(), changed,
+                 [this, alive, halt, rest](const Answered& put) {
+                   if (!*alive) return;
+                   if (put.done) {
+                     log::write(log::Event::fleet_plan_halted, {{"plan", halt.number}, {"why", halt.why}});
+                     note({{"kind", "halted"}, {"plan", halt.number}, {"why", halt.why}});
+                   }
+                   rest();
+                 });
+  });
+}
+
+// ---- the report
+
+Report Part::report() const {
+  Report r;
+  r.name = spec_.name;
+  r.standing = nameOf(kind_);
+  r.why = why_;
+  r.host = hostName();
+  r.own = own();
+  r.heard = standing_.heardOf() ? standing_.newest().number : 0;
+  r.lease = standing_.acting().lease;
+  r.since = since_;
+  r.epoch = epoch_;
+  r.process = process_;
+  return r;
+}
+
+// Whoever is shut out holds nothing: its report stays to be read, its session is gone, and a write that was
+// under way with it comes to nothing.
+void Part::publish() {
+  if (leaving_) return;
+  Report same = report();
+  same.own.list = -1;  // a list that changes each second is no news
+  const std::string text = shown(same).dump();
+  if (publishing_) {
+    publish_again_ = publish_again_ || text != reported_;
+    return;
+  }
+  if (text == reported_ && (kind_ == Kind::shut_out || !session_.empty())) return;
+  if (!standing_.heardOf() || silent_) return;  // when the store answers
+  publishing_ = true;
+  reported_ = text;
+  if (!session_.empty()) return put();
+  store_->open("grademux " + spec_.name, spec_.session, [this, alive = alive_](const Answered& a) {
+    if (!*alive) return;
+    if (!a.ok || !a.done || leaving_) return published(false);
+    session_ = a.session;
+    after(renew_timer_, spec_.session / 3, [this] { renew(); });
+    put();
+  });
+}
+
+void Part::put() {
+  const bool out = kind_ == Kind::shut_out;
+  Report r = report();
+  r.at = unixNow();
+  store_->hold(spec_.senders() + spec_.name, shown(r).dump(), session_,
+               [this, alive = alive_, out](const Answered& a) {
+                 if (!*alive) return;
+                 if (!a.ok) {  // done or not, and the session may be no more
+                   after(renew_timer_, kLeastPause, [this] { renew(); });
+                   return published(false);
+                 }
+                 if (!a.done) return claim();
+                 if (out) endSession();
+                 published(true);
+               });
+}
+
+// The report's key is held by another session: of an earlier process of this sender, or one whose opening was
+// not heard of. That is ended, and what it still writes comes to nothing.
+void Part::claim() {
+  const std::string key = spec_.senders() + spec_.name;
+  store_->list(key, [this, alive = alive_, key](const Answered& a) {
+    if (!*alive) return;
+    for (const Entry& e : a.entries) {
+      if (e.key != key || e.session.empty() || e.session == session_) continue;
+      try {
+        const Report r = readReport(json::parse(e.value));
+        if (r.epoch < epoch_ || r.process == process_) store_->close(e.session, [](const Answered&) {});
+        else log::write(log::Event::fleet_name_taken, {{"name", spec_.name}, {"host", r.host}});
+      } catch (const std::exception&) {}
+    }
+    published(false);
+  });
+}
+
+void Part::endSession() {
+  if (!session_.empty()) store_->close(session_, [](const Answered&) {});
+  session_.clear();
+}
+
+void Part::published(bool kept) {
+  publishing_ = false;
+  if (!kept) reported_.clear();  // looked at again soon
+  if (!kept || !publish_again_) return;
+  publish_again_ = false;
+  publish();
+}
+
+void Part::renew() {
+  if (session_.empty()) return;
+  store_->renew(session_, [this, alive = alive_, session = session_](const Answered& a) {
+    if (!*alive || session != session_) return;
+    if (a.ok && !a.done) {  // it has ended: early, or while this process stood still
+      session_.clear();
+      reported_.clear();
+      return publish();
+    }
+    after(renew_timer_, a.ok ? spec_.session / 3 : pauses_.next(kLeastPause, spec_.session / 8),
+          [this] { renew(); });
+  });
+}
+
+// ---- the right, and what is on record
+
+bool Part::holds() { return may_ && !released_ && boottimeNow() < until_; }
+
+Standing::Verdict Part::verdict() const { return standing_.at(boottimeNow(), own()); }
+
+const std::string& Part::version() {
+  if (version_.empty() || version_of_.list != sender_.list() ||
+      version_of_.plan != standing_.acting().number || version_of_.settings != own_.settings ||
+      version_of_.daemon != own_.daemon) {
+    version_of_ = own();
+    version_ = shown(version_of_).dump();
+  }
+  return version_;
+}
+
+std::string Part::stamp(std::int64_t number) {
+  if (number != version_number_) {
+    note({{"kind", "version"},
+          {"number", number},
+          {"own", shown(version_of_)},
+          {"was", version_number_},
+          {"was_calls", version_calls_},
+          {"was_last", version_last_}});
+    version_number_ = number;
+    version_calls_ = 0;
+  }
+  ++version_calls_;
+  version_last_ = unixNow();
+  return spec_.stamp ? std::to_string(version_of_.plan) + "." + std::to_string(number) : "";
+}
+
+void Part::note(json record) {
+  if (!trail_) return;
+  if (paired_) record["ahead"] = ahead_;
+  worker_.run(
+      [trail = trail_, record = std::move(record), now = unixNow()]() mutable -> std::function<void()> {
+        const bool kept = trail->write(std::move(record), now);
+        return [kept] {
+          if (!kept) log::write(log::Event::fleet_trail_failed);
+        };
+      });
+}
+
+}  // namespace grademux::fleet
--- /dev/null
+++ b/src/fleet/plan.cpp
@@ -0,0 +1,226 @@
+// grademux fleet: the plan; see plan.h.
+#include "plan.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cinttypes>
+#include <cstdio>
+
+namespace grademux::fleet {
+
+namespace {
+
+json shownNeeds(const Needs& n) {
+  json o = json::object();
+  if (!n.settings.empty()) o["settings"] = n.settings;
+  if (!n.daemon.empty()) o["daemon"] = n.daemon;
+  if (!n.program.empty()) o["program"] = n.program;
+  if (n.list >= 0) o["list"] = n.list;
+  return o;
+}
+
+Needs readNeeds(const json& o, const std::string& path, std::vector<std::string>& unknown) {
+  Needs n;
+  n.settings = text(o, "settings", "");
+  n.daemon = text(o, "daemon", "");
+  n.program = text(o, "program", "");
+  if (!absent(o, "list")) n.list = integer(o, "list");
+  for (const auto& [key, value] : o.items())
+    if (key != "settings" && key != "daemon" && key != "program" && key != "list")
+      unknown.push_back(path + "." + key);
+  return n;
+}
+
+constexpr const char* kFields[] = {"number", "needs",    "before", "strict", "lease_ms", "binds_after_ms",
+                                   "by",     "shut_out", "halted", "zones",  "why",      "most_shut_out",
+                                   "at_us"};
+
+}  // namespace
+
+std::string digestOf(const std::string& canonical) {
+  char hex[17];
+  std::snprintf(hex, sizeof hex, "%016" PRIx64,
+                static_cast<std::uint64_t>(XXH3_64bits(canonical.data(), canonical.size())));
+  return hex;
+}
+
+Plan readPlan(const json& o) {
+  if (!o.is_object()) bad("the plan is not an object");
+  Plan p;
+  p.number = integer(o, "number");
+  if (p.number < 1) bad("number: 1 or more is expected");
+  p.needs = readNeeds(object(o, "needs"), "needs", p.unknown);
+  std::vector<std::string> past;  // what a plan that is over asked for binds nobody
+  p.before = readNeeds(optionalObject(o, "before"), "before", past);
+  p.strict = truth(o, "strict");
+  p.lease = span(o, "lease_ms");
+  p.binds_after = span(o, "binds_after_ms");
+  if (p.lease < kLeastLease || p.lease > kMostLease) bad("lease_ms: 1000 to 3600000 is expected");
+  if (p.binds_after < 0) bad("binds_after_ms: no less than 0 is expected");
+  p.most_shut_out = number(o, "most_shut_out", 0.25);
+  if (!(p.most_shut_out >= 0 && p.most_shut_out <= 1)) bad("most_shut_out: 0 to 1 is expected");
+  if (!absent(o, "shut_out"))
+    for (const json& name : array(o, "shut_out")) {
+      if (!name.is_string()) bad("shut_out: names are expected");
+      p.shut_out.insert(name.get<std::string>());
+    }
+  p.halted = truth(o, "halted", false);
+  for (const auto& [zone, state] : optionalObject(o, "zones").items()) {
+    if (!state.is_string()) bad("zones: a state each is expected");
+    p.zones[zone] = state.get<std::string>();
+  }
+  p.by = text(o, "by", "");
+  p.why = text(o, "why", "");
+  if (!absent(o, "at_us")) p.at = integer(o, "at_us");
+  for (const auto& [key, value] : o.items())
+    if (std::none_of(std::begin(kFields), std::end(kFields), [&](const char* f) { return key == f; }))
+      p.unknown.push_back(key);
+  return p;
+}
+
+json shown(const Plan& p) {
+  return {{"number", p.number},
+          {"needs", shownNeeds(p.needs)},
+          {"before", shownNeeds(p.before)},
+          {"strict", p.strict},
+          {"lease_ms", p.lease / 1000},
+          {"binds_after_ms", p.binds_after / 1000},
+          {"most_shut_out", p.most_shut_out},
+          {"shut_out", p.shut_out},
+          {"halted", p.halted},
+          {"zones", p.zones},
+          {"by", p.by},
+          {"why", p.why},
+          {"at_us", p.at}};
+}
+
+std::string digestOf(const Plan& p) { return digestOf(shown(p).dump()); }
+
+std::string refuses(const Plan& now, const Plan& next) {
+  if (next.number != now.number + 1)
+    return "its number is " + std::to_string(next.number) + ", " + std::to_string(now.number + 1) +
+           " would follow";
+  if (next.strict && next.binds_after < now.lease)
+    return "it would bind after " + std::to_string(next.binds_after / 1000) +
+           " ms: a sender that is cut off acts on for the " + std::to_string(now.lease / 1000) +
+           " ms of its lease";
+  return "";
+}
+
+Plan following(const Plan& now, const std::string& by, const std::string& why, Micros at) {
+  Plan p = now;
+  ++p.number;
+  if (!now.halted) p.before = now.needs;
+  p.halted = false;
+  p.binds_after = std::max(now.binds_after, now.lease);
+  p.by = by;
+  p.why = why;
+  p.at = at;
+  p.unknown.clear();
+  return p;
+}
+
+Plan halting(const Plan& now, const std::string& by, const std::string& why, Micros at) {
+  Plan p = following(now, by, why, at);
+  p.needs = p.before = now.before;
+  p.halted = true;
+  return p;
+}
+
+json shown(const Own& o) {
+  return {{"program", o.program},
+          {"settings", o.settings},
+          {"daemon", o.daemon},
+          {"list", o.list},
+          {"plan", o.plan}};
+}
+Own readOwn(const json& o) {
+  return {text(o, "program", ""), text(o, "settings", ""), text(o, "daemon", ""),
+          absent(o, "list") ? -1 : integer(o, "list"), absent(o, "plan") ? 0 : integer(o, "plan")};
+}
+
+bool olderProgram(const std::string& a, const std::string& b) {
+  std::size_t i = 0, j = 0;
+  const auto part = [](const std::string& s, std::size_t& at) {
+    std::int64_t n = 0;
+    for (; at < s.size() && s[at] >= '0' && s[at] <= '9'; ++at) n = n * 10 + (s[at] - '0');
+    while (at < s.size() && (s[at] < '0' || s[at] > '9')) ++at;
+    return n;
+  };
+  while (i < a.size() || j < b.size()) {
+    const std::int64_t x = part(a, i), y = part(b, j);
+    if (x != y) return x < y;
+  }
+  return false;
+}
+
+std::vector<Lack> lacks(const Own& own, const Plan& plan, const std::string& name) {
+  std::vector<Lack> all;
+  const auto add = [&](Lack::What what, std::string says) { all.push_back({what, std::move(says)}); };
+  if (plan.shut_out.count(name)) add(Lack::What::word, "shut out by " + plan.by + ": " + plan.why);
+  for (const std::string& f : plan.unknown)
+    add(Lack::What::field, "program " + own.program + " does not know " + f);
+  const Needs& n = plan.needs;
+  if (!n.program.empty() && olderProgram(own.program, n.program))
+    add(Lack::What::program, "program " + own.program + ", " + n.program + " or newer is asked for");
+  if (!n.settings.empty() && n.settings != own.settings)
+    add(Lack::What::settings, "settings " + own.settings + ", " + n.settings + " is asked for");
+  if (!n.daemon.empty() && n.daemon != own.daemon)
+    add(Lack::What::daemon, "daemon file " + own.daemon + ", " + n.daemon + " is asked for");
+  if (n.list > own.list)
+    add(Lack::What::list,
+        "list " + std::to_string(own.list) + ", " + std::to_string(n.list) + " or newer is asked for");
+  return all;
+}
+
+std::string textOf(const std::vector<Lack>& lacks) {
+  std::string all;
+  for (const Lack& l : lacks) all += (all.empty() ? "" : "; ") + l.says;
+  return all;
+}
+
+json shown(const Report& r) {
+  return {{"name", r.name},
+          {"standing", r.standing},
+          {"why", r.why},
+          {"host", r.host},
+          {"own", shown(r.own)},
+          {"heard", r.heard},
+          {"lease_ms", r.lease / 1000},
+          {"since_us", r.since},
+          {"at_us", r.at},
+          {"epoch", r.epoch},
+          {"process", r.process}};
+}
+Report readReport(const json& o) {
+  if (!o.is_object()) bad("a report is not an object");
+  Report r;
+  r.name = text(o, "name");
+  r.standing = text(o, "standing", "");
+  r.why = text(o, "why", "");
+  r.host = text(o, "host", "");
+  r.process = text(o, "process", "");
+  r.own = readOwn(object(o, "own"));
+  r.heard = absent(o, "heard") ? 0 : integer(o, "heard");
+  r.lease = absent(o, "lease_ms") ? 0 : span(o, "lease_ms");
+  r.since = absent(o, "since_us") ? 0 : integer(o, "since_us");
+  r.at = absent(o, "at_us") ? 0 : integer(o, "at_us");
+  r.epoch = absent(o, "epoch") ? 0 : integer(o, "epoch");
+  return r;
+}
+
+bool tooManyBehind(const Plan& plan, const std::vector<Report>& senders, std::string& names) {
+  if (!plan.strict) return false;
+  std::size_t all = 0, behind = 0;
+  for (const Report& r : senders) {
+    if (!r.live || plan.shut_out.count(r.name)) continue;  // an operator's word is the operator's to count
+    ++all;
+    if (r.own.plan >= plan.number || lacks(r.own, plan, r.name).empty()) continue;
+    ++behind;
+    names += (names.empty() ? "" : ", ") + r.name;
+  }
+  return static_cast<double>(behind) > plan.most_shut_out * static_cast<double>(all);
+}
+
+}  // namespace grademux::fleet
--- /dev/null
+++ b/src/fleet/plan.h
@@ -0,0 +1,97 @@
+// grademux fleet: the plan, the one small document that all senders of a fleet agree on, and the version that
+// each of them acts by. Data, its JSON form, and what follows from it without a clock.
+// docs/design/fleet.md has the rules that a plan has to keep.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../core/json_fields.h"
+
+namespace grademux::fleet {
+
+constexpr Micros kLeastLease = 1'000'000, kMostLease = 3'600'000'000LL;
+
+// What a sender has to run to act under a plan. Empty or -1: whatever it has.
+struct Needs {
+  std::string settings, daemon;  // digests
+  std::string program;           // the least version of it, as 0.4.0
+  std::int64_t list = -1;        // the least version of the list
+};
+
+struct Plan {
+  std::int64_t number = 0;          // only grows; 0: there is none yet
+  Needs needs, before;              // before: those of the last plan that was not halted
+  bool strict = false;              // a sender whose lease has ended stops; else it serves on, and is named
+  Micros lease = 30'000'000;        // that a sender may act on the word of one read
+  Micros binds_after = 30'000'000;  // from its change; no less than the lease of the plan before
+  double most_shut_out = 0.25;      // share of the senders; past it the plan is halted
+  std::set<std::string> shut_out;   // by an operator's word
+  bool halted = false;
+  std::map<std::string, std::string> zones;  // their states, for those who know them
+  std::string by, why;
+  Micros at = 0;                     // Unix time, by the clock of who changed it
+  std::vector<std::string> unknown;  // fields that this program does not know: it can't act under it
+};
+
+// Throws BadInput that names the field.
+Plan readPlan(const json& o);
+json shown(const Plan& p);
+// Tells two plans of one number from one another: XXH3 over the document, 16 hexadecimal digits.
+std::string digestOf(const Plan& p);
+std::string digestOf(const std::string& canonical);
+
+// Why `next` can't follow `now`; empty: it can.
+std::string refuses(const Plan& now, const Plan& next);
+// The plan that follows, with a number of its own, made by somebody for a reason.
+Plan following(const Plan& now, const std::string& by, const std::string& why, Micros at);
+// Takes the needs of the last plan that was not halted: for when too many would be shut out, or an operator
+// says so.
+Plan halting(const Plan& now, const std::string& by, const std::string& why, Micros at);
+
+// What a sender acts by: derived from what is in force, never typed by hand.
+struct Own {
+  std::string program, settings, daemon;
+  std::int64_t list = -1;
+  std::int64_t plan = 0;  // that it has taken over
+
+  bool operator==(const Own& o) const {
+    return program == o.program && settings == o.settings && daemon == o.daemon && list == o.list &&
+           plan == o.plan;
+  }
+  bool operator!=(const Own& o) const { return !(*this == o); }
+};
+json shown(const Own& o);
+Own readOwn(const json& o);
+
+// What it lacks to act under the plan, a line each: nothing if it can.
+struct Lack {
+  enum class What { program, settings, daemon, list, field, word } what;
+  std::string says;
+};
+std::vector<Lack> lacks(const Own& own, const Plan& plan, const std::string& name);
+std::string textOf(const std::vector<Lack>& lacks);
+
+// a before b, part by part, as numbers: 0.9.1 before 0.10.
+bool olderProgram(const std::string& a, const std::string& b);
+
+// What a sender tells of itself at the store.
+struct Report {
+  std::string name, standing, why, host, process;
+  Own own;
+  std::int64_t heard = 0;    // the newest plan that it has read
+  Micros lease = 0;          // of the plan that it acts under
+  Micros since = 0, at = 0;  // Unix time, of its own clock
+  std::int64_t epoch = 0;    // of the process, by its journal
+  bool live = false;         // its session stands; not part of the document
+};
+json shown(const Report& r);
+Report readReport(const json& o);
+
+// The plan to put in place of `plan`, if the senders that live and can't follow it are more than may be shut
+// out at once: they would be when it binds.
+bool tooManyBehind(const Plan& plan, const std::vector<Report>& senders, std::string& names);
+
+}  // namespace grademux::fleet
--- /dev/null
+++ b/src/fleet/standing.h
@@ -0,0 +1,146 @@
+// grademux fleet: how a sender stands to the plan, and whether it may act. No I/O and no clock: times are
+// microseconds of one clock of this machine that goes on while it sleeps (CLOCK_BOOTTIME).
+//
+// One rule holds it all together. A sender acts under a plan only on the word of a read of the store, one
+// that no later change can have preceded, and for `lease` from the moment at which it *asked*. If that read
+// showed plan n, then n + 1 was made after the asking. So with
+//     asked + lease * (1 - kMargin) by its own clock,    binds_after(n + 1) >= lease(n),
+// and clocks of machines whose rates differ by less than kMargin, every sender has stopped acting under n
+// when n + 1 binds, whether it heard of it or not. A plan binds `binds_after` after its change and never
+// before the one that precedes it. docs/design/fleet.md has the argument step by step.
+#pragma once
+
+#include <optional>
+
+#include "plan.h"
+
+namespace grademux::fleet {
+
+// Of a span by the own clock. Quartz is off by 0.01%; a machine whose clock runs 1% slow is broken.
+constexpr double kMargin = 0.01;
+
+enum class Kind {
+  current,
+  catching_up,  // a newer plan is known, and something that it asks for is missing
+  unknown,      // the store has not answered lately; what was known last still holds
+  shut_out      // nothing new is taken on and no call begun
+};
+inline const char* nameOf(Kind k) {
+  constexpr const char* kNames[] = {"current", "catching up", "unknown", "shut out"};
+  return kNames[static_cast<int>(k)];
+}
+
+class Standing {
+ public:
+  struct Verdict {
+    Kind kind = Kind::unknown;
+    bool may = false;
+    Micros until = 0;  // when `may` ends unless more is heard; kNever: not by itself
+    std::string why;
+  };
+  static constexpr Micros kNever = INT64_MAX / 4;
+
+  explicit Standing(std::string name, double margin = kMargin) : name_(std::move(name)), margin_(margin) {}
+
+  // Of an earlier process: what it had taken over. It says how to go on while the store is silent, and gives
+  // no lease.
+  void remember(const Plan& plan) {
+    acting_ = plan;
+    newest_ = plan;
+    known_ = true;
+  }
+  // A read that was asked for at `asked` shows this plan; number 0: none. False: it is older than, or another
+  // than, what is known here, and tells nothing. The store has lost something then.
+  bool heard(const Plan& plan, Micros asked) {
+    lost_.clear();
+    if (known_ && (plan.number < newest_.number ||
+                   (plan.number == newest_.number && digestOf(plan) != digestOf(newest_)))) {
+      lost_ = "the store has plan " + std::to_string(plan.number) + ", here " +
+              std::to_string(newest_.number) + " is known" +
+              (plan.number == newest_.number ? ", and it is another" : "");
+      return false;
+    }
+    answered_ = std::max(answered_, asked);
+    if (plan.number == acting_.number && (known_ || plan.number == 0)) {
+      fresh_ = std::max(fresh_, asked);
+    } else if (newest_.number == acting_.number || !known_) {
+      // The first that is newer. When one between was missed, nothing is known of when that binds.
+      const bool next = known_ && plan.number == acting_.number + 1;
+      behind_for_ = next && plan.strict ? std::max(acting_.lease, plan.binds_after) : acting_.lease;
+    }
+    if (!known_ || plan.number > newest_.number) newest_ = plan;
+    if (!known_ && plan.number == 0) acting_ = plan;
+    known_ = true;
+    return true;
+  }
+
+  const Plan& acting() const { return acting_; }
+  const Plan& newest() const { return newest_; }
+  bool heardOf() const { return known_; }
+  std::vector<Lack> lacking(const Own& own) const { return lacks(own, newest_, name_); }
+  // Whether the newest plan is to be taken over; the caller writes it to disk first, then says takenOver().
+  bool due(const Own& own) const {
+    return known_ && answered_ != kLong && newest_.number > acting_.number && lacking(own).empty();
+  }
+  // `number`: of the newest at the time at which it was written.
+  void takenOver(const Plan& plan) {
+    if (plan.number <= acting_.number || plan.number > newest_.number) return;
+    acting_ = plan;
+    // Shown by the last read, if that was it; else a newer one is known, and its lease is the one before.
+    if (plan.number == newest_.number) fresh_ = answered_;
+    else behind_for_ = std::min(behind_for_, plan.lease);
+  }
+
+  Verdict at(Micros now, const Own& own) const {
+    Verdict v;
+    if (!known_) {
+      v.why = "the store has not answered since the start";
+      v.kind = Kind::shut_out;
+      return v;
+    }
+    if (newest_.shut_out.count(name_)) {
+      v.why = textOf(lacking(own));
+      v.kind = Kind::shut_out;
+      return v;
+    }
+    const bool behind = newest_.number > acting_.number;
+    // A sender that was changed by hand can act under neither the plan that it had taken over nor the newest.
+    const bool astray = !lacking(own).empty() && !lacks(own, acting_, name_).empty();
+    const Micros lease = behind ? behind_for_ : acting_.lease;
+    const Micros ends = !newest_.strict ? kNever : astray ? kNever * -1 : fresh_ + less(lease);
+    const std::string missing = textOf(lacking(own));
+    const bool silent = now - answered_ > acting_.lease / 2;
+    v.may = now < ends;
+    v.until = ends;
+    if (!v.may) v.kind = Kind::shut_out;
+    else if (silent || !lost_.empty()) v.kind = Kind::unknown;
+    else v.kind = behind || astray ? Kind::catching_up : Kind::current;
+    if (!missing.empty()) v.why = "plan " + std::to_string(newest_.number) + ": " + missing;
+    else if (!lost_.empty()) v.why = lost_;
+    else if (silent)
+      v.why = answered_ == kLong ? "the store has not answered since the start" : "the store does not answer";
+    else if (behind) v.why = "plan " + std::to_string(newest_.number) + " is being taken over";
+    return v;
+  }
+
+  // The share of the way to being shut out that a sender which is behind has gone: 0 to 1; 0 where it won't.
+  double gone(Micros now) const {
+    if (!known_ || !newest_.strict || newest_.number == acting_.number || fresh_ == kLong) return 0;
+    return std::min(1.0, static_cast<double>(now - fresh_) / static_cast<double>(less(behind_for_)));
+  }
+
+ private:
+  static constexpr Micros kLong = INT64_MIN / 4;  // before anything
+  Micros less(Micros lease) const { return static_cast<Micros>(static_cast<double>(lease) * (1 - margin_)); }
+
+  std::string name_;
+  double margin_;
+  Plan acting_, newest_;
+  bool known_ = false;
+  std::string lost_;
+  Micros fresh_ = kLong;     // the last asking that showed `acting_` to be the newest
+  Micros answered_ = kLong;  // the last asking that showed anything
+  Micros behind_for_ = 0;    // from fresh_, since a newer one is known
+};
+
+}  // namespace grademux::fleet
--- a/src/handover/inherited_calls.h
+++ b/src/handover/inherited_calls.h
@@ -41,8 +41,9 @@
     carrier_.address(endpoint, address);
   }
   void forget(const std::string& endpoint) override { carrier_.forget(endpoint); }
-  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout) override {
-    carrier_.call(m, attempt, endpoint, timeout);
+  void call(const TakenOn& m, int attempt, const std::string& endpoint, Micros timeout,
+            const std::string& stamp) override {
+    carrier_.call(m, attempt, endpoint, timeout, stamp);
   }
   void cancel(const std::string& id, int attempt) override {
     if (out_.count({id, attempt})) say_(CancelCall{{id, attempt}});
--- a/src/knowledge/book.cpp
+++ b/src/knowledge/book.cpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <cerrno>
 #include <cmath>
-#include <cstdio>
 #include <cstring>
 #include <nlohmann/json.hpp>
 
@@ -189,19 +188,4 @@
   return r.refused.empty() ? decode(bytes, sender) : r;
 }
 
-std::string writeBook(const std::string& path, const std::string& bytes) {
-  const std::string fresh = path + ".new";
-  const auto failed = [&](int fd) {
-    const std::string why = std::strerror(errno);
-    if (fd >= 0) ::close(fd);
-    ::unlink(fresh.c_str());
-    return why;
-  };
-  const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
-  if (fd < 0) return failed(fd);
-  if (!writeAll(fd, bytes)) return failed(fd);
-  if (::close(fd) != 0 || std::rename(fresh.c_str(), path.c_str()) != 0) return failed(-1);
-  return "";
-}
-
 }  // namespace grademux::knowledge
--- a/src/knowledge/book.h
+++ b/src/knowledge/book.h
@@ -42,7 +42,4 @@
 Reading decode(const std::string& bytes, const std::string& sender);
 Reading readBook(const std::string& path, const std::string& sender);
 
-// Beside the old one, then renamed over it. Empty, or what went wrong; then the old one is as it was.
-std::string writeBook(const std::string& path, const std::string& bytes);
-
 }  // namespace grademux::knowledge
--- a/src/knowledge/command.cpp
+++ b/src/knowledge/command.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "../core/clock.h"
+#include "../core/file.h"
 #include "ageing.h"
 #include "book.h"
 #include "keeper.h"
@@ -143,7 +144,7 @@
                            [&](const Known& k) { return k.lesson.destination == *destination; }),
             all.end());
   std::size_t left_out = 0;
-  const std::string wrong = writeBook(path, encode(r.book, UINT64_MAX, left_out));
+  const std::string wrong = replaceFile(path, encode(r.book, UINT64_MAX, left_out));
   if (!wrong.empty()) {
     std::cerr << "grademux: " << path << ": " << wrong << '\n';
     return kUnusable;
--- a/src/knowledge/keeper.cpp
+++ b/src/knowledge/keeper.cpp
@@ -95,7 +95,7 @@
   const std::string bytes = encode(book, most_bytes, w.left_out);
   w.records -= w.left_out;
   w.bytes = bytes.size();
-  w.wrong = bytes.empty() ? "the disk budget leaves no room beside the journal" : writeBook(path, bytes);
+  w.wrong = bytes.empty() ? "the disk budget leaves no room beside the journal" : replaceFile(path, bytes);
   w.took = monotonicNow() - began;
   return w;
 }
--- a/src/membership/list.cpp
+++ b/src/membership/list.cpp
@@ -103,6 +103,18 @@
   waiting_[std::move(id)] = std::move(c);
 }
 
+ListUpdate MembershipList::as(EndpointState (*state)(EndpointState)) const {
+  ListUpdate u;
+  u.kind = ListKind::delta;
+  for (const auto& [name, e] : known_) {
+    u.endpoints.push_back(e.endpoint);
+    u.endpoints.back().state = state(e.endpoint.state);
+  }
+  std::sort(u.endpoints.begin(), u.endpoints.end(),
+            [](const Endpoint& a, const Endpoint& b) { return a.id < b.id; });
+  return u;
+}
+
 MembershipList::Slice MembershipList::next(std::size_t most) {
   Slice s;
   s.whole = !begun_;
--- a/src/membership/list.h
+++ b/src/membership/list.h
@@ -55,6 +55,9 @@
   bool pending() const { return !waiting_.empty() || index_ != told_; }
   Slice next(std::size_t most);
 
+  // All that is listed, each in the state that `state` makes of its own: for the module alone.
+  ListUpdate as(EndpointState (*state)(EndpointState)) const;
+
   std::int64_t index() const { return index_; }  // of the last answer
   std::size_t size() const { return known_.size(); }
   bool lists(std::int64_t destination) const { return destinations_.count(destination) > 0; }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -103,12 +103,14 @@
   http::request<http::string_body> request;
   std::optional<AnswerReader> reader;
   Done done;
+  std::function<bool()> may;
   std::uint64_t turn = 0;  // exchanges begun or over: what belongs to an earlier one is ignored
   bool open = false, written = false, begun = false, keep = false;  // begun: the first byte of an answer came
   std::chrono::steady_clock::time_point ends;
 
   void begin(HttpRequest r, Micros connect_limit, Micros limit, Done d) {
     request = {};
+    may = std::move(r.may);
     request.version(11);
     request.method_string(r.method);
     request.target(r.target);
@@ -155,6 +157,7 @@
   }
 
   void write(std::uint64_t mine) {
+    if (may && !may()) return finish(Exchanged::not_written);
     http::async_write(socket, request, [self = shared_from_this(), mine](error_code e, std::size_t) {
       if (mine != self->turn) return;
       if (e) return self->finish(Exchanged::not_written);
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -20,6 +20,9 @@
   std::string method, target;
   std::vector<std::pair<std::string, std::string>> fields;
   std::string body;
+  // Asked right before the first byte is written, once the connection is there; false: nothing is written, as
+  // if there was no connection. Empty: it may.
+  std::function<bool()> may;
 };
 
 enum class Exchanged {
--- a/src/operate/state.h
+++ b/src/operate/state.h
@@ -12,11 +12,12 @@
   starting,  // the journal is read, or an earlier process still owns it
   serving,
   standby,  // clients are sent away, and those that come are still served
-  stopping  // for good: by SIGTERM, or since another process has taken over
+  shut_out,  // by the fleet's plan: clients are sent away, and what comes is refused
+  stopping   // for good: by SIGTERM, or since another process has taken over
 };
 
 inline const char* nameOf(Phase p) {
-  constexpr const char* kNames[] = {"starting", "serving", "standby", "stopping"};
+  constexpr const char* kNames[] = {"starting", "serving", "standby", "shut out", "stopping"};
   return kNames[static_cast<int>(p)];
 }
 
@@ -42,15 +43,22 @@
   Phase phase() const {
     if (stopping_) return Phase::stopping;
     if (!ready_) return Phase::starting;
+    if (shut_out_) return Phase::shut_out;
     return standby_ ? Phase::standby : Phase::serving;
   }
   // Clients are to go elsewhere: PING says no, and connections end between requests.
-  bool sendsAway() const { return phase() == Phase::standby || phase() == Phase::stopping; }
+  bool sendsAway() const { return phase() > Phase::serving; }
   bool stopping() const { return stopping_; }
   bool standby() const { return standby_; }  // was asked for, and not taken back
 
   // The journal is owned and read, and the doors accept.
   void ready() { ready_ = true; }
+  // By the fleet's plan, until it may act again.
+  void shutOut(std::string why) {
+    shut_out_ = true;
+    shut_why_ = std::move(why);
+  }
+  void letIn() { shut_out_ = false; }
   // Never taken back.
   void stop(std::string why) {
     if (!stopping_) why_ = std::move(why);
@@ -74,12 +82,13 @@
   Verdict status(bool listed) const {
     if (stopping_) return {false, "stopping: " + why_};
     if (!ready_) return {false, "starting"};
+    if (shut_out_) return {false, "shut out: " + shut_why_};
     if (!listed) return {false, "no list of endpoints yet"};
     return {true, standby_ ? "standby" : "serving"};
   }
 
-  bool ready_ = false, standby_ = false, stopping_ = false;
-  std::string why_;
+  bool ready_ = false, standby_ = false, shut_out_ = false, stopping_ = false;
+  std::string why_, shut_why_;
 };
 
 }  // namespace grademux::operate
--- /dev/null
+++ b/tests/audit/trail_test.cpp
@@ -0,0 +1,193 @@
+// The trail: chained, bounded, and honest about what it can't vouch for.
+#include "../../src/audit/trail.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "../../src/audit/reader.h"
+#include "../../src/core/clock.h"
+#include "../support/loopback.h"
+
+namespace grademux::audit {
+namespace {
+
+namespace fs = std::filesystem;
+using loopback::TempFolder;
+
+struct Read {
+  Reading reading;
+  std::vector<Entry> entries;
+  std::vector<Gap> gaps;
+};
+Read all(const std::string& folder, const std::string& expected = "") {
+  Read r;
+  r.reading = readTrail(
+      folder, expected, [&](const Entry& e) { r.entries.push_back(e); },
+      [&](const Gap& g) { r.gaps.push_back(g); });
+  return r;
+}
+void write(const std::string& folder, int from, int to, Budget budget = {},
+           const std::string& sender = "s1") {
+  Trail t(folder, sender, budget);
+  for (int i = from; i <= to; ++i) EXPECT_TRUE(t.write({{"kind", "standing"}, {"n", i}}, 1000 * i));
+}
+std::string segment(const std::string& folder, std::int64_t n) { return folder + "/" + segmentName(n); }
+std::string bytesOf(const std::string& path) {
+  std::ifstream f(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(f), {}};
+}
+
+TEST(Trail, ComesBackInOrderOverRestarts) {
+  TempFolder f;
+  write(f.path() + "/t", 1, 3);
+  write(f.path() + "/t", 4, 5);
+  const Read r = all(f.path() + "/t", "s1");
+  ASSERT_EQ(r.entries.size(), 5u);
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(r.entries[static_cast<std::size_t>(i)].record["n"], i + 1);
+    EXPECT_EQ(r.entries[static_cast<std::size_t>(i)].sequence, i + 1);
+  }
+  EXPECT_TRUE(r.gaps.empty());
+  EXPECT_EQ(r.reading.sender, "s1");
+}
+
+// A bit in any place of the file: either the reading says that something is not known, or nothing but what
+// was written is told.
+TEST(Trail, AFlippedBitAnywhereIsNeverTakenForFine) {
+  TempFolder f;
+  const std::string folder = f.path() + "/t";
+  write(folder, 1, 4);
+  const std::string path = segment(folder, 1), sound = bytesOf(path);
+  const Read before = all(folder);
+  ASSERT_EQ(before.entries.size(), 4u);
+  for (std::size_t at = 0; at < sound.size(); ++at) {
+    std::string spoilt = sound;
+    spoilt[at] = static_cast<char>(spoilt[at] ^ 0x10);
+    std::ofstream(path, std::ios::binary | std::ios::trunc) << spoilt;
+    const Read r = all(folder);
+    EXPECT_FALSE(r.gaps.empty()) << "byte " << at;
+    EXPECT_LT(r.entries.size(), 5u);
+    for (const Entry& e : r.entries)
+      EXPECT_EQ(e.record["n"].get<std::int64_t>(), e.sequence) << "byte " << at;
+    // At most two records are doubted for one bit, whichever it is.
+    EXPECT_GE(r.entries.size(), 2u) << "byte " << at;
+  }
+}
+
+TEST(Trail, ATornEndAndAMissingSegmentAreGaps) {
+  TempFolder f;
+  const std::string folder = f.path() + "/t";
+  write(folder, 1, 3);
+  write(folder, 4, 6);
+  write(folder, 7, 9);
+  fs::resize_file(segment(folder, 1), fs::file_size(segment(folder, 1)) - 3);
+  Read r = all(folder);
+  ASSERT_EQ(r.gaps.size(), 1u);
+  EXPECT_EQ(r.gaps[0].from, 2000);
+  EXPECT_EQ(r.gaps[0].to, 4000);
+  EXPECT_EQ(r.entries.size(), 8u);
+  fs::remove(segment(folder, 2));
+  r = all(folder);
+  ASSERT_EQ(r.gaps.size(), 1u);
+  EXPECT_EQ(r.gaps[0].to, 7000);
+  fs::remove(segment(folder, 1));  // what came before is gone, and is said to be
+  r = all(folder);
+  ASSERT_EQ(r.gaps.size(), 1u);
+  EXPECT_EQ(r.gaps[0].from, 0);
+}
+
+TEST(Trail, KeepsWithinItsBytesAndSaysWhatIsGone) {
+  TempFolder f;
+  const std::string folder = f.path() + "/t";
+  Budget budget;
+  budget.bytes = 65536;
+  {
+    Trail t(folder, "s1", budget);
+    for (int i = 1; i <= 4000; ++i)
+      ASSERT_TRUE(t.write({{"kind", "standing"}, {"text", std::string(50, 'x')}}, i));
+  }
+  std::uint64_t sum = 0;
+  for (const auto& e : fs::directory_iterator(folder)) sum += e.file_size();
+  EXPECT_LE(sum, budget.bytes + budget.bytes / 8);
+  const Read r = all(folder);
+  ASSERT_FALSE(r.entries.empty());
+  EXPECT_EQ(r.entries.back().sequence, 4000);
+  EXPECT_EQ(r.gaps.size(), 1u);
+}
+
+TEST(Trail, AFolderOfAnotherSenderIsSetAside) {
+  TempFolder f;
+  const std::string folder = f.path() + "/t";
+  write(folder, 1, 3, {}, "s1");
+  {
+    Trail t(folder, "s2", {});
+    EXPECT_EQ(t.aside(), folder + "-of-s1");
+    EXPECT_TRUE(t.write({{"kind", "start"}}, 9000));
+  }
+  EXPECT_EQ(all(folder, "s2").entries.size(), 1u);
+  EXPECT_EQ(all(folder + "-of-s1").entries.size(), 3u);
+  EXPECT_FALSE(all(folder + "-of-s1", "s2").gaps.empty());
+}
+
+// The segment of another sender among one's own.
+TEST(Trail, ASegmentCopiedInIsAGap) {
+  TempFolder f;
+  write(f.path() + "/a", 1, 3, {}, "s1");
+  write(f.path() + "/a", 4, 5, {}, "s1");
+  write(f.path() + "/b", 1, 3, {}, "s2");
+  write(f.path() + "/b", 4, 5, {}, "s2");
+  fs::copy_file(segment(f.path() + "/b", 2), segment(f.path() + "/a", 2),
+                fs::copy_options::overwrite_existing);
+  const Read r = all(f.path() + "/a");
+  ASSERT_EQ(r.gaps.size(), 1u);
+  EXPECT_NE(r.gaps[0].why.find("s2"), std::string::npos);
+}
+
+TEST(Trail, WhatCouldNotBeWrittenIsCounted) {
+  TempFolder f;
+  const std::string folder = f.path() + "/t";
+  Trail t(folder, "s1", {});
+  EXPECT_TRUE(t.write({{"kind", "start"}}, 1000));
+  Budget small;
+  small.bytes = 8;  // every record needs a segment of its own
+  Trail u(f.path() + "/u", "s1", small);
+  EXPECT_TRUE(u.write({{"kind", "start"}}, 1000));
+  fs::remove_all(f.path() + "/u");
+  std::ofstream(f.path() + "/u") << "no folder";  // as on a disk where nothing can be made
+  EXPECT_FALSE(u.write({{"kind", "standing"}}, 2000));
+  EXPECT_FALSE(u.write({{"kind", "standing"}}, 3000));
+  fs::remove(f.path() + "/u");
+  fs::create_directory(f.path() + "/u");
+  EXPECT_TRUE(u.write({{"kind", "standing"}}, 4000));
+  const Read r = all(f.path() + "/u");
+  bool told = false;
+  for (const Gap& g : r.gaps) told = told || g.why == "2 records could not be written";
+  EXPECT_TRUE(told);
+}
+
+// Clocks that differ by minutes: the order is that of the store's clock, where the senders know it.
+TEST(Trail, SeveralAreOrderedByTheStoresClock) {
+  TempFolder f;
+  const Micros minute = 60'000'000;
+  {
+    Trail a(f.path() + "/a", "s1", {}), b(f.path() + "/b", "s2", {});
+    a.write({{"kind", "start"}, {"n", 1}, {"ahead", 0}}, 100 * minute);
+    b.write({{"kind", "start"}, {"n", 2}, {"ahead", 5 * minute}}, 96 * minute);  // 101
+    a.write({{"kind", "start"}, {"n", 3}, {"ahead", 0}}, 102 * minute);
+    b.write({{"kind", "start"}, {"n", 4}, {"ahead", 5 * minute}}, 98 * minute);  // 103
+  }
+  std::vector<int> order;
+  readTrails(
+      {f.path() + "/a", f.path() + "/b"},
+      [&](std::size_t, const Entry& e) {
+        order.push_back(e.record["n"]);
+        EXPECT_TRUE(e.paired);
+      },
+      [](std::size_t, const Gap&) { ADD_FAILURE(); });
+  EXPECT_EQ(order, (std::vector<int>{1, 2, 3, 4}));
+}
+
+}  // namespace
+}  // namespace grademux::audit
--- a/tests/carriers/http_carrier_test.cpp
+++ b/tests/carriers/http_carrier_test.cpp
@@ -27,7 +27,7 @@
   // Makes a call and waits for its outcome.
   Outcome call(const std::string& id, Micros timeout = 60'000'000) {
     const std::size_t before = outcomes.size();
-    endpoints.call(message(id), 0, "e", timeout);
+    endpoints.call(message(id), 0, "e", timeout, "");
     return waitFor(before + 1);
   }
   Outcome waitFor(std::size_t count) {
@@ -286,7 +286,7 @@
   Server s([](const Seen&) { return Act{}; });
   Pool p;
   p.endpoints.address("e", s.address());
-  p.endpoints.call(p.message("m"), 3, "e", 60'000'000);
+  p.endpoints.call(p.message("m"), 3, "e", 60'000'000, "");
   while (s.seen().empty()) {
     p.io.restart();
     p.io.run_one_for(std::chrono::milliseconds(20));
--- a/tests/core/host_test.cpp
+++ b/tests/core/host_test.cpp
@@ -14,7 +14,9 @@
 struct NoCalls : Carrier {
   void address(const std::string&, const std::string&) override {}
   void forget(const std::string&) override {}
-  void call(const TakenOn& m, int, const std::string&, Micros) override { called.push_back(m.id); }
+  void call(const TakenOn& m, int, const std::string&, Micros, const std::string&) override {
+    called.push_back(m.id);
+  }
   void cancel(const std::string&, int) override {}
   void closeIdle(const std::string&) override {}
   std::size_t out() const override { return called.size(); }
@@ -217,5 +219,57 @@
   EXPECT_EQ(c.host.learned().known.size(), 2u);
 }
 
+// ---- a right that can end
+
+struct Ends : Right {
+  bool holds() override { return may; }
+  const std::string& version() override { return text; }
+  std::string stamp(std::int64_t number) override { return "1." + std::to_string(number); }
+  bool may = true;
+  std::string text = "{\"plan\":1}";
+};
+
+// Risk: the right ends between two turns, and what came in under it is taken on or called all the same.
+TEST(Host, NothingIsTakenOnOrCalledOnceTheRightHasEnded) {
+  Core c;
+  Ends right;
+  c.host.bind(&right);
+  c.submit("a");
+  c.run();
+  ASSERT_EQ(1u, c.carrier.called.size());
+  EXPECT_EQ(Journal::look(c.folder.path(), "a").attempts.at(0).version, 1u);
+  const auto& late = c.submit("b");
+  right.may = false;
+  c.run();
+  ASSERT_EQ(1u, late.size());
+  EXPECT_EQ(Answer::Kind::refused, late[0].kind);
+  EXPECT_EQ(1u, c.carrier.called.size());
+  EXPECT_FALSE(Journal::look(c.folder.path(), "b").known);  // a restart would take it on
+  const auto& again = c.submit("b");                        // harmless: it may come again
+  right.may = true;
+  c.run();
+  EXPECT_EQ(Answer::Kind::accepted, again.at(0).kind);
+  EXPECT_EQ(2u, c.carrier.called.size());
+}
+
+// Risk: what is held is forgotten or called while the host is closed, or is not once it is open again.
+TEST(Host, WhatIsHeldWaitsWhileClosedAndGoesOnWhenOpen) {
+  Core c;
+  c.submit("a");
+  c.run();
+  Outcome o;
+  o.id = "a";
+  o.result = Result::connect_failed;
+  c.host.close();
+  c.host.outcome(o);
+  c.run();
+  EXPECT_EQ(1u, c.carrier.called.size());  // its next try waits
+  EXPECT_EQ(Answer::Kind::refused, c.submit("b").at(0).kind);
+  EXPECT_EQ(Status::State::open, c.host.status("a").state);
+  c.host.open();
+  for (int i = 0; i < 200 && c.carrier.called.size() < 2; ++i) c.run();
+  EXPECT_EQ(2u, c.carrier.called.size());
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/core/journal_test.cpp
+++ b/tests/core/journal_test.cpp
@@ -538,5 +538,73 @@
   EXPECT_EQ(j.recovered().ailments[0].noted, 100);
 }
 
+// ---- versions that attempts are decided under
+
+TEST(JournalVersions, AttemptsAndEndsNameThoseTheyWereDecidedUnder) {
+  TempFolder t;
+  const auto attempt = [](std::uint32_t version) {
+    JournaledAttempt a;
+    a.endpoint = "e1";
+    a.version = version;
+    return a;
+  };
+  {
+    Journal j(t.path(), 3'000'000);
+    const std::uint32_t one = j.versionOf("{\"plan\":1}"), two = j.versionOf("{\"plan\":2}");
+    EXPECT_EQ(one, 1u);
+    EXPECT_EQ(j.versionOf("{\"plan\":2}"), two);
+    for (const char* id : {"open", "over"}) {
+      j.accepted(message(id));
+      j.attempted(id, attempt(one));
+    }
+    j.attempted("open", attempt(two));
+    j.attempted("open", {"e2", 5, false});  // as a program without a fleet writes it
+    j.over("over", {{Ending::delivered, 9, 0}, 1, INT64_MAX / 2});
+    ASSERT_TRUE(j.flush());
+  }
+  for (int round = 0; round < 2; ++round) {  // as it was written, and after a compaction
+    const Journal::Witness open = Journal::look(t.path(), "open"), over = Journal::look(t.path(), "over");
+    ASSERT_TRUE(open.known && !open.ended && over.known && over.ended);
+    ASSERT_EQ(open.attempts.size(), 3u + static_cast<std::size_t>(round));  // one more for the damage
+    EXPECT_EQ(open.versions.at(open.attempts[0].version), "{\"plan\":1}");
+    EXPECT_EQ(open.versions.at(open.attempts[1].version), "{\"plan\":2}");
+    EXPECT_EQ(open.attempts[2].version, 0u);
+    EXPECT_EQ(over.versions.at(over.past.version), "{\"plan\":1}");
+    EXPECT_FALSE(Journal::look(t.path(), "nobody").known);
+    // Damage in the middle makes the next start write all anew.
+    std::string data = readFile(t.path() + "/journal");
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("gone"));
+    j.drop("gone");
+    ASSERT_TRUE(j.flush());
+    j.release();
+    data = readFile(t.path() + "/journal");
+    data[data.find("gone")] ^= 1;
+    writeFile(t.path() + "/journal", data);
+    Journal k(t.path(), 3'000'000);
+    EXPECT_EQ(k.recovered().damaged, 1u);
+    EXPECT_EQ(k.versionOf("{\"plan\":" + std::to_string(3 + round) + "}"),
+              3u + static_cast<std::uint32_t>(round));  // no number comes twice
+    ASSERT_TRUE(k.flush());
+  }
+}
+
+// Looking on changes nothing, not even a torn tail: its owner may be writing it.
+TEST(JournalVersions, LookingOnTouchesNothing) {
+  TempFolder t;
+  {
+    Journal j(t.path(), 3'000'000);
+    j.accepted(message("a"));
+    ASSERT_TRUE(j.flush());
+  }
+  const std::string path = t.path() + "/journal";
+  std::string data = readFile(path);
+  data.resize(data.size() + 7, 'x');
+  writeFile(path, data);
+  EXPECT_TRUE(Journal::look(t.path(), "a").known);
+  EXPECT_EQ(readFile(path), data);
+  EXPECT_THROW(Journal::look(t.path() + "/none", "a"), std::runtime_error);
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/knowledge/book_test.cpp
+++ b/tests/knowledge/book_test.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 
+#include "../../src/core/file.h"
 #include "../support/loopback.h"
 
 namespace grademux::knowledge {
@@ -161,13 +162,13 @@
   loopback::TempFolder folder;
   const std::string path = folder.path() + "/knowledge";
   EXPECT_FALSE(readBook(path, "n3").there);
-  EXPECT_EQ(writeBook(path, bytesOf(book(2))), "");
+  EXPECT_EQ(replaceFile(path, bytesOf(book(2))), "");
   EXPECT_EQ(readBook(path, "n3").book.known.size(), 4u);
   EXPECT_NE(::access((path + ".new").c_str(), F_OK), 0);
-  EXPECT_NE(writeBook(folder.path() + "/none/knowledge", "x"), "");
-  EXPECT_EQ(writeBook("/dev/full/knowledge", "x").empty(), false);
+  EXPECT_NE(replaceFile(folder.path() + "/none/knowledge", "x"), "");
+  EXPECT_EQ(replaceFile("/dev/full/knowledge", "x").empty(), false);
   ASSERT_EQ(::mkdir((path + ".new").c_str(), 0755), 0);  // the fresh file can't be made
-  EXPECT_NE(writeBook(path, "x"), "");
+  EXPECT_NE(replaceFile(path, "x"), "");
   EXPECT_EQ(readBook(path, "n3").book.known.size(), 4u);        // the old one stands
   EXPECT_FALSE(readBook(folder.path(), "n3").refused.empty());  // a folder
 }
@@ -176,14 +177,14 @@
 TEST(Book, ADiskThatIsFullLeavesTheOldFile) {
   loopback::TempFolder folder;
   const std::string path = folder.path() + "/knowledge", bytes = bytesOf(book(2));
-  ASSERT_EQ(writeBook(path, bytes), "");
+  ASSERT_EQ(replaceFile(path, bytes), "");
   rlimit before{};
   ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &before), 0);
   const auto handler = std::signal(SIGXFSZ, SIG_IGN);
   rlimit small = before;
   small.rlim_cur = 100;
   ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &small), 0);
-  const std::string wrong = writeBook(path, bytesOf(book(9)));
+  const std::string wrong = replaceFile(path, bytesOf(book(9)));
   ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &before), 0);
   std::signal(SIGXFSZ, handler);
   EXPECT_NE(wrong, "");
--- a/tests/operate/state_test.cpp
+++ b/tests/operate/state_test.cpp
@@ -12,6 +12,7 @@
   State s;
   if (p != Phase::starting) s.ready();
   if (p == Phase::standby) s.on(Call::standby, true);
+  if (p == Phase::shut_out) s.shutOut("by the plan");
   if (p == Phase::stopping) s.stop("SIGTERM");
   return s;
 }
@@ -33,6 +34,9 @@
       {Phase::standby, Call::status, true, Phase::standby},  // it can serve, and does serve who comes
       {Phase::standby, Call::standby, true, Phase::standby},
       {Phase::standby, Call::active, true, Phase::serving},
+      {Phase::shut_out, Call::status, false, Phase::shut_out},  // no word of the operators' lets it in
+      {Phase::shut_out, Call::standby, true, Phase::shut_out},
+      {Phase::shut_out, Call::active, true, Phase::shut_out},
       {Phase::stopping, Call::status, false, Phase::stopping},
       {Phase::stopping, Call::standby, false, Phase::stopping},
       {Phase::stopping, Call::active, false, Phase::stopping},  // there is no way back
