--- a/rig/fleet.cpp
+++ b/rig/fleet.cpp
@@ -296,6 +296,7 @@
       sequence = r.value("seq", std::int64_t{0});
       standings += kind == "standing";
       if (kind == "version") plan_of[r["number"]] = r["own"]["plan"];
+      for (const json& v : r.value("versions", json::array())) plan_of[v["number"]] = v["own"]["plan"];
     }
   }
   std::int64_t disagrees = 0;
--- a/rig/fleet_audit.cpp
+++ b/rig/fleet_audit.cpp
@@ -74,7 +74,8 @@
     for (const std::size_t i : broken_) fleet_.world(i).writeConfig(false);
     std::vector<std::string> words = {"--settings", fleet_.settingsDigest(intact()), "--mode", "strict"};
     if (first)
-      words.insert(words.end(), {"--lease", std::to_string(options_.lease_s), "--binds-after", "30"});
+      words.insert(words.end(), {"--lease", std::to_string(options_.lease_s), "--binds-after",
+                                 std::to_string(options_.lease_s)});
     else words.insert(words.end(), {"--binds-after", std::to_string(options_.lease_s)});
     words.insert(words.end(), {"--most-shut-out", "0.5"});
     const auto said = fleet_.propose(words);
@@ -110,7 +111,7 @@
         say(who + " is cut off from the store, way " + std::to_string(static_cast<int>(way)));
         fleet_.cutStore(i, way);
         deaf_.insert(i);
-        if (random_() % 2) propose();
+        if (random_() % 3) propose();
         wait(span(0.2, 2.5));
         say(who + " is joined again");
         fleet_.cutStore(i, Link::Way::whole);
@@ -121,7 +122,7 @@
         say(who + " is stopped");
         fleet_.stop(i);
         stopped_.insert(i);
-        if (random_() % 2) propose();
+        if (random_() % 3) propose();
         wait(span(0.2, 2.5));
         say(who + " goes on");
         fleet_.go(i);
--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -88,6 +88,7 @@
 
   // The number by which attempts name a version; written once for all that have the same.
   std::uint32_t versionOf(const std::string& text);
+  const std::map<std::uint32_t, std::string>& versions() const { return versions_; }
 
   // Each of these appends to a buffer; flush() writes it. False: nothing was written, the buffer waits for
   // the next flush, and what it promises must not be done.
--- a/src/daemon/fleet_part.cpp
+++ b/src/daemon/fleet_part.cpp
@@ -49,7 +49,7 @@
 
 void FleetPart::again() {
   part_ = make();
-  part_->start(own_, "handover called off");
+  part_->start(own_, "handover called off", {});
 }
 
 bool FleetPart::differs(const std::optional<fleet::Spec>& a, const std::optional<fleet::Spec>& b) {
--- a/src/daemon/fleet_part.h
+++ b/src/daemon/fleet_part.h
@@ -21,7 +21,9 @@
             const DaemonFile& daemon, std::int64_t epoch, List list, CatchUp catch_up, Act act);
 
   Right& right() { return *part_; }
-  void start(const std::string& cause) { part_->start(own_, cause); }
+  void start(const std::string& cause, const std::map<std::uint32_t, std::string>& versions) {
+    part_->start(own_, cause, versions);
+  }
   // What is in force after files were read again.
   void brought(const Config& config, const DaemonFile& daemon, const std::string& refused);
   void leave() { part_->leave(); }
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -223,7 +223,7 @@
     if (clients_) clients_->start(*admission_, state_);
     doors_.start(*admission_, state_);
     state_.ready();
-    if (fleet_) fleet_->start(taker_ ? "handover" : "start");
+    if (fleet_) fleet_->start(taker_ ? "handover" : "start", journal_->versions());
     if (config_.passed >= 0) giver_ = std::make_unique<handover::Giver>(io_, lock_.fd(), owner());
     tellReady();
     if (reload_due_) reload();
--- a/src/fleet/command.cpp
+++ b/src/fleet/command.cpp
@@ -121,10 +121,14 @@
 // where the store has lost what it knew.
 Plan latest(const Known& k) {
   Plan now = k.plan;
+  Micros lease = k.plan.number > 0 ? now.lease : 0;
   for (const Report& r : k.senders) {
     now.number = std::max({now.number, r.own.plan, r.heard});
-    if (r.own.plan > k.plan.number) now.lease = std::max(now.lease, r.lease);
+    if (r.own.plan <= k.plan.number) continue;
+    lease = std::max(lease, r.lease);
+    now.strict = now.strict || r.strict;
   }
+  if (lease > 0) now.lease = lease;
   return now;
 }
 
--- a/src/fleet/part.cpp
+++ b/src/fleet/part.cpp
@@ -70,7 +70,8 @@
 
 Part::~Part() { *alive_ = false; }
 
-void Part::start(const Own& own, const std::string& cause) {
+void Part::start(const Own& own, const std::string& cause,
+                 const std::map<std::uint32_t, std::string>& versions) {
   own_ = own;
   since_ = unixNow();
   json record = {{"kind", "start"},
@@ -78,6 +79,10 @@
                  {"epoch", epoch_},
                  {"own", shown(this->own())},
                  {"acting", standing_.acting().number}};
+  json known = json::array();
+  for (const auto& [number, text] : versions)
+    known.push_back({{"number", number}, {"own", json::parse(text, nullptr, false)}});
+  if (!known.empty()) record["versions"] = std::move(known);
   if (!trail_->aside().empty()) {
     record["aside"] = trail_->aside();
     log::write(log::Event::fleet_trail_aside, {{"folder", trail_->aside()}});
@@ -311,6 +316,7 @@
   r.host = hostName();
   r.own = own();
   r.heard = standing_.heardOf() ? standing_.newest().number : 0;
+  r.strict = standing_.acting().strict;
   r.lease = standing_.acting().lease;
   r.since = since_;
   r.epoch = epoch_;
--- a/src/fleet/part.h
+++ b/src/fleet/part.h
@@ -48,8 +48,9 @@
   Part(const Part&) = delete;
   Part& operator=(const Part&) = delete;
 
-  // `own`: program and digests. `cause` is for the trail.
-  void start(const Own& own, const std::string& cause);
+  // `own`: program and digests. `cause` is for the trail. `versions`: that the journal has, by number: a
+  // process that was killed may have used one that its trail does not name.
+  void start(const Own& own, const std::string& cause, const std::map<std::uint32_t, std::string>& versions);
   // Program, settings or daemon file are others now, or were looked at; `refused`: why a file can't be used.
   void brought(const Own& own, const std::string& refused);
   // This process ends soon: the store is to know at once. It still acts, as far as it may.
--- a/src/fleet/plan.cpp
+++ b/src/fleet/plan.cpp
@@ -101,7 +101,8 @@
   if (next.number != now.number + 1)
     return "its number is " + std::to_string(next.number) + ", " + std::to_string(now.number + 1) +
            " would follow";
-  if (next.strict && next.binds_after < now.lease)
+  // Whoever acts by a lenient plan does not stop: there is no lease to wait for.
+  if (next.strict && now.strict && next.binds_after < now.lease)
     return "it would bind after " + std::to_string(next.binds_after / 1000) +
            " ms: a sender that is cut off acts on for the " + std::to_string(now.lease / 1000) +
            " ms of its lease";
@@ -113,7 +114,7 @@
   ++p.number;
   if (!now.halted) p.before = now.needs;
   p.halted = false;
-  p.binds_after = std::max(now.binds_after, now.lease);
+  p.binds_after = std::max(now.binds_after, now.strict ? now.lease : 0);
   p.by = by;
   p.why = why;
   p.at = at;
@@ -188,6 +189,7 @@
           {"own", shown(r.own)},
           {"heard", r.heard},
           {"lease_ms", r.lease / 1000},
+          {"strict", r.strict},
           {"since_us", r.since},
           {"at_us", r.at},
           {"epoch", r.epoch},
@@ -203,6 +205,7 @@
   r.process = text(o, "process", "");
   r.own = readOwn(object(o, "own"));
   r.heard = absent(o, "heard") ? 0 : integer(o, "heard");
+  r.strict = truth(o, "strict", false);
   r.lease = absent(o, "lease_ms") ? 0 : span(o, "lease_ms");
   r.since = absent(o, "since_us") ? 0 : integer(o, "since_us");
   r.at = absent(o, "at_us") ? 0 : integer(o, "at_us");
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -83,6 +83,7 @@
   Own own;
   std::int64_t heard = 0;    // the newest plan that it has read
   Micros lease = 0;          // of the plan that it acts under
+  bool strict = false;       // the same
   Micros since = 0, at = 0;  // Unix time, of its own clock
   std::int64_t epoch = 0;    // of the process, by its journal
   bool live = false;         // its session stands; not part of the document
--- a/tests/carriers/http_carrier_test.cpp
+++ b/tests/carriers/http_carrier_test.cpp
@@ -302,5 +302,25 @@
   EXPECT_EQ(1u, p.outcomes.size());
 }
 
+// Risk: a call that waited for its connection is written after the right to make it has ended.
+TEST(HttpCarrier, WhatMayNotGoWhenTheConnectionIsThereIsNotWritten) {
+  Server s([](const Seen&) { return Act{answer("200 OK")}; });
+  Pool p;
+  p.endpoints.address("e", s.address());
+  bool may = true;
+  int asked = 0;
+  p.endpoints.setGuard([&] {
+    ++asked;
+    return may;
+  });
+  EXPECT_EQ(Result::ok, p.call("a").result);
+  EXPECT_EQ(1, asked);
+  may = false;
+  EXPECT_EQ(Result::connect_failed, p.call("kept").result);  // on the connection that is there
+  EXPECT_EQ(Result::connect_failed, p.call("fresh").result);
+  EXPECT_EQ(3, asked);
+  EXPECT_EQ(1u, s.seen().size());
+}
+
 }  // namespace
 }  // namespace grademux
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -28,7 +28,7 @@
     fleet_->startAll();
     mode_ = mode;
     const auto said = fleet_->propose({"--settings", fleet_->settingsDigest(), "--mode", mode, "--lease",
-                                       "1.5", "--binds-after", "30", "--most-shut-out", share});
+                                       "1.5", "--binds-after", "1.5", "--most-shut-out", share});
     ASSERT_EQ(0, said.status) << said.text;
     ASSERT_TRUE(fleet_->eventually([&] { return fleet_->allAt(1); }));
     fleet_->beginLoad();
@@ -273,7 +273,7 @@
   aim_ += 100;  // of the plan that is lost nothing is left: lease and mode have to be said again
   fleet_->setAim(aim_);
   const auto again = fleet_->propose(
-      {"--settings", fleet_->settingsDigest(), "--mode", "strict", "--lease", "1.5", "--binds-after", "30"});
+      {"--settings", fleet_->settingsDigest(), "--mode", "strict", "--lease", "1.5", "--binds-after", "1.5"});
   EXPECT_EQ(0, again.status) << again.text;
   EXPECT_EQ(4, fleet_->planNumber());
   for (std::size_t i = 0; i < 2; ++i) ASSERT_TRUE(comesTo(i, 4)) << why(i);
