Fleet: a shorter lease shuts nobody out; a rig to try the fleet on and to price it

Cause: seen while trying the commands on a fleet that stays up: a read held back for a fifth of the old lease outlasts a new one that is shorter, so senders stood still for up to a fifth of the old lease after taking over; in the log as shut out with plan taken over.

The store's addresses are a place, not shared. `grademux_rig fleet play`, `fleet cost`.

--- a/rig/fleet.h
+++ b/rig/fleet.h
@@ -100,8 +100,10 @@
   std::vector<bool> killed_;
 };
 
-// `grademux_rig fleet audit`, see fleet_audit.cpp.
+// `grademux_rig fleet audit`, see fleet_audit.cpp; `cost` and `play`, see fleet_cost.cpp.
 struct Options;
 json fleetAudit(const Options& o);
+json fleetCost(const Options& o);
+json fleetPlay(const Options& o);
 
 }  // namespace grademux::rig
--- /dev/null
+++ b/rig/fleet_cost.cpp
@@ -0,0 +1,108 @@
+// grademux rig: `fleet cost`: what the plan, the stamp and the trail cost a sender that is busy, in pairs:
+// the same sender without a fleet and with one, in turn. And `fleet play`: a fleet that stays up, to try the
+// operators' commands on.
+#include <csignal>
+#include <iostream>
+
+#include "../src/core/clock.h"
+#include "fleet.h"
+#include "scenarios.h"
+
+namespace grademux::rig {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+struct Cost {
+  Measured measured;
+  double journal_bytes = 0;  // a message
+};
+
+Cost one(const Options& o, std::uint64_t seed, bool fleet, Micros span) {
+  boost::asio::io_context io{1};
+  StoreStandIn store(io, 1);
+  auto work = asio::make_work_guard(io);
+  std::thread thread([&] { io.run(); });
+  Cost c;
+  {
+    Shape shape;
+    shape.behaviour.service = 1000;
+    shape.behaviour.spread = 1000;
+    shape.slots = 128;
+    shape.http = false;
+    shape.capacity = 1 << 21;
+    World w(o.sender, seed, shape);
+    if (fleet)
+      w.setDaemonText([&] {
+        return "[fleet]\nname = \"s0\"\nstore = [\"" + store.addresses()[0] + "\"]\nstamp = true\n";
+      });
+    w.start();
+    const std::uint64_t before = w.ledger.deliveries, written = w.journalBytes();
+    c.measured = saturated(w, span);
+    c.journal_bytes =
+        static_cast<double>(w.journalBytes() - written) / static_cast<double>(w.ledger.deliveries - before);
+    w.settle(20 * kSecond);
+    w.stop();
+  }
+  io.stop();
+  thread.join();
+  return c;
+}
+
+double median(std::vector<double> v) {
+  std::sort(v.begin(), v.end());
+  return v[v.size() / 2];
+}
+
+}  // namespace
+
+json fleetCost(const Options& o) {
+  constexpr int kPairs = 5;
+  const Micros span = std::max<Micros>(1, o.seconds / (2 * kPairs)) * kSecond;
+  std::vector<double> rate, cpu, without, with, bytes_without, bytes_with;
+  for (int pair = 0; pair < kPairs; ++pair) {
+    const auto seed = o.seed + static_cast<std::uint64_t>(pair);
+    const Cost plain = one(o, seed, false, span), fleet = one(o, seed, true, span);
+    rate.push_back(fleet.measured.per_second / plain.measured.per_second);
+    cpu.push_back(fleet.measured.cpu_us / plain.measured.cpu_us);
+    without.push_back(plain.measured.per_second);
+    with.push_back(fleet.measured.per_second);
+    bytes_without.push_back(plain.journal_bytes);
+    bytes_with.push_back(fleet.journal_bytes);
+  }
+  return {{"pairs", kPairs},
+          {"per_second_without", median(without)},
+          {"per_second_with", median(with)},
+          {"throughput_ratio", median(rate)},
+          {"throughput_ratios", rate},
+          {"cpu_ratio", median(cpu)},
+          {"cpu_ratios", cpu},
+          {"journal_bytes_without", median(bytes_without)},
+          {"journal_bytes_with", median(bytes_with)},
+          {"holds", true}};
+}
+
+json fleetPlay(const Options& o) {
+  FleetShape shape;
+  shape.senders = o.senders;
+  Fleet fleet(o.sender, o.seed, shape);
+  fleet.startAll();
+  fleet.beginLoad();
+  std::string where;
+  for (const std::string& word : fleet.storeAt()) where += " " + word;
+  std::cout << "the fleet is at" << where << '\n';
+  for (std::size_t i = 0; i < fleet.size(); ++i)
+    std::cout << "s" << i << ": configuration " << fleet.world(i).configFile() << ", folder "
+              << fleet.world(i).state() << ", process " << fleet.world(i).child().pid() << '\n';
+  std::cout << std::flush;
+  static volatile std::sig_atomic_t over = 0;
+  std::signal(SIGINT, [](int) { over = 1; });
+  for (const Micros until = monotonicNow() + o.seconds * kSecond; !over && monotonicNow() < until;)
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  return fleet.finish();
+}
+
+}  // namespace grademux::rig
--- a/rig/scenarios.h
+++ b/rig/scenarios.h
@@ -39,6 +39,11 @@
 // whether all invariants do.
 json finished(World& w, const std::function<json()>& figuresOf);
 json doors(const World& w, Micros from = 0);
+struct Measured {
+  double per_second = 0, cpu_us = 0, cpu_share = 0;  // cpu_us: microseconds of processor a message
+};
+// As much as goes through at the RESP door, after a second to warm up.
+Measured saturated(World& w, Micros span);
 
 const std::map<std::string, std::pair<Scenario, const char*>>& scenarios();
 
--- a/src/daemon/daemon_file.cpp
+++ b/src/daemon/daemon_file.cpp
@@ -134,7 +134,7 @@
 
 std::string DaemonFile::shared() const {
   static const std::set<std::string> kOwn = {"door.listen", "operators.listen", "journal.folder", "log.file",
-                                             "fleet.name"};
+                                             "fleet.name", "fleet.store"};
   std::string all;
   for (const Effective& e : effective)
     if (!kOwn.count(e.key)) all += e.key + " = " + e.value + "\n";
--- a/src/fleet/part.cpp
+++ b/src/fleet/part.cpp
@@ -133,7 +133,9 @@
 
 void Part::ask() {
   const Micros asked = boottimeNow();
-  const Micros wait = std::min(kMostWait, standing_.acting().lease / 5);
+  // Of the plan that is being taken over, too: its lease may be the shorter one.
+  const Micros lease = std::min(standing_.acting().lease, standing_.newest().lease);
+  const Micros wait = std::min(kMostWait, lease / 5);
   store_->read(spec_.planKey(), index_, wait, [this, alive = alive_, asked](const Answered& a) {
     if (*alive) hear(a, asked);
   });
@@ -188,7 +190,7 @@
 void Part::look() {
   if (released_) return;
   const Own now = own();
-  if (standing_.due(now)) takeOver();
+  if (standing_.due(now, boottimeNow())) takeOver();
   const Standing::Verdict v = standing_.at(boottimeNow(), now);
   until_ = v.until;
   if (!told_ || v.may != may_) {
