--- a/packaging/grademux_sender.bash
+++ b/packaging/grademux_sender.bash
@@ -2,7 +2,7 @@
 _grademux_sender() {
   local word=${COMP_WORDS[COMP_CWORD]} before=${COMP_WORDS[COMP_CWORD - 1]} command='' i
   for ((i = 1; i < COMP_CWORD; ++i)); do
-    case ${COMP_WORDS[i]} in run | check | init | knowledge) command=${COMP_WORDS[i]} ;; esac
+    case ${COMP_WORDS[i]} in run | check | init | knowledge | fleet) command=${COMP_WORDS[i]} ;; esac
   done
   case $before in
     --daemon | --record)
@@ -15,9 +15,10 @@
     check) mapfile -t COMPREPLY < <(compgen -f -W '--effective --help' -- "$word") ;;
     init) mapfile -t COMPREPLY < <(compgen -d -- "$word") ;;
     knowledge) mapfile -t COMPREPLY < <(compgen -d -W 'show forget --json --destination' -- "$word") ;;
+    fleet) mapfile -t COMPREPLY < <(compgen -f -W 'status plan show propose bind halt revert shut-out readmit audit digest --daemon --store --prefix --why --by --json' -- "$word") ;;
     run) mapfile -t COMPREPLY < <(compgen -W '--daemon --help' -- "$word") ;;
     *)
-      mapfile -t COMPREPLY < <(compgen -W 'run check init knowledge --daemon --record --record-mb --version --help' -- "$word")
+      mapfile -t COMPREPLY < <(compgen -W 'run check init knowledge fleet --daemon --record --record-mb --version --help' -- "$word")
       ;;
   esac
 }
