Tests: discovery alone cut off, a store full of sessions, one that answers far too late; audit bench

Cause: the store's stand-in answered held reads at once where all answers were to be late; seen by the test that then failed.

--- /dev/null
+++ b/bench/audit_bench.cpp
@@ -0,0 +1,67 @@
+// The reader of trails over a whole fleet: a day of 300 senders, 100 MB together, in one stream. The counters
+// are what it holds: resident bytes beyond those before, and records a second.
+#include <benchmark/benchmark.h>
+
+#include <fstream>
+
+#include "../rig/child.h"
+#include "../src/audit/reader.h"
+
+namespace {
+
+using namespace grademux;
+
+double residentBytes() {
+  std::ifstream f("/proc/self/statm");
+  double all = 0, resident = 0;
+  f >> all >> resident;
+  return resident * 4096;
+}
+
+// Trails of one day: a record each few seconds, as senders with a lively list write them.
+std::vector<std::string> write(const std::string& folder, int senders, std::uint64_t bytes_each) {
+  std::vector<std::string> all;
+  for (int s = 0; s < senders; ++s) {
+    all.push_back(folder + "/s" + std::to_string(s));
+    audit::Budget budget;
+    budget.bytes = 8 * bytes_each;
+    audit::Trail trail(all.back(), "s" + std::to_string(s), budget);
+    const json own = {{"program", "0.4.0"},
+                      {"settings", "3833e882ffb34cd4"},
+                      {"daemon", "b27e53079bb8b2c3"},
+                      {"list", 1},
+                      {"plan", 7}};
+    std::uint64_t written = 0;
+    for (int n = 1; written < bytes_each; ++n) {
+      json record = {{"kind", "version"}, {"number", n}, {"own", own}, {"was", n - 1}, {"ahead", s * 1000}};
+      written += json::to_msgpack(record).size() + audit::kHeader + 20;
+      trail.write(std::move(record), 1'700'000'000'000'000 + n * 30'000'000LL);
+    }
+  }
+  return all;
+}
+
+void auditTrails(benchmark::State& state) {
+  const rig::Folder folder;
+  const auto trails =
+      write(folder.path(), static_cast<int>(state.range(0)), static_cast<std::uint64_t>(state.range(1)));
+  const double before = residentBytes();
+  double most = 0;
+  std::int64_t records = 0, gaps = 0;
+  for (auto _ : state) {
+    audit::readTrails(
+        trails,
+        [&](std::size_t, const audit::Entry& e) {
+          benchmark::DoNotOptimize(e.at);
+          if (++records % 100'000 == 0) most = std::max(most, residentBytes() - before);
+        },
+        [&](std::size_t, const audit::Gap&) { ++gaps; });
+  }
+  if (gaps > 0) state.SkipWithError("there are gaps");
+  state.SetItemsProcessed(records);
+  state.SetBytesProcessed(state.iterations() * state.range(0) * state.range(1));
+  state.counters["resident_mb"] = most / 1e6;
+}
+BENCHMARK(auditTrails)->Args({300, 333'000})->Unit(benchmark::kMillisecond)->Iterations(1);
+
+}  // namespace
--- a/rig/store_stand_in.cpp
+++ b/rig/store_stand_in.cpp
@@ -124,13 +124,17 @@
   const std::string bytes = carryOut(node, r, respond);
   if (on_request) on_request(r, false);
   if (bytes.empty()) return;  // held back
+  reply(respond, bytes);
+}
+
+void StoreStandIn::reply(const HttpStandIn::Respond& respond, const std::string& bytes) {
   bytes_ += bytes.size();
   if (late_ <= 0) {
     respond({bytes, false, false});
     return;
   }
   const auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(late_));
-  timer->async_wait([timer, respond = std::move(respond), bytes](const boost::system::error_code& e) {
+  timer->async_wait([timer, respond, bytes](const boost::system::error_code& e) {
     if (!e) respond({bytes, false, false});
   });
 }
@@ -158,9 +162,7 @@
         if (at == waiting_.end()) return;
         const Waiting w = *at;
         waiting_.erase(at);
-        const std::string bytes = read(state_, w.key, w.below);
-        bytes_ += bytes.size();
-        w.respond({bytes, false, false});
+        reply(w.respond, read(state_, w.key, w.below));
       });
       return "";
     }
@@ -286,7 +288,7 @@
       continue;
     }
     w.hold->cancel();
-    w.respond({read(state_, w.key, w.below), false, false});
+    reply(w.respond, read(state_, w.key, w.below));
   }
 }
 
--- a/rig/store_stand_in.h
+++ b/rig/store_stand_in.h
@@ -75,6 +75,7 @@
   void release(const std::string& session);
   void dropSessions(bool all);
   void wake();
+  void reply(const HttpStandIn::Respond& respond, const std::string& bytes);
   std::string answer(const std::string& status, const std::string& body, std::int64_t index = 0) const;
 
   boost::asio::io_context& io_;
--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -384,6 +384,65 @@
   holds();
 }
 
+// Cut off from discovery alone, and the plan asks for a list that it can't have: it says so, and is brought
+// up once the link is whole.
+TEST_F(FleetTest, OneThatIsCutOffFromDiscoveryLacksTheList) {
+  begin(2);
+  World& w = fleet_->world(0);
+  w.onStandIns([&] { w.discoveryLink().set(Link::Way::cut); });
+  for (std::size_t i = 0; i < 2; ++i) {
+    World& each = fleet_->world(i);
+    each.onStandIns(
+        [&] { each.discovery().tell(json::array({each.endpoint(0).listed("Terminating")}), false); });
+  }
+  ASSERT_TRUE(fleet_->eventually([&] {
+    const auto said = fleet_->command({"fleet", "audit", fleet_->world(1).state()});
+    return said.text.find("\"list\":3") != std::string::npos;  // it was used
+  }));
+  const auto said = fleet_->propose({"--list", "3", "--binds-after", "1.5"});
+  ASSERT_EQ(0, said.status) << said.text;
+  ASSERT_TRUE(comesTo(1, 2)) << why(1);
+  ASSERT_TRUE(fleet_->eventually([&] { return standing(0) == "shut out"; }));
+  EXPECT_NE(why(0).find("list 2, 3 or newer is asked for"), std::string::npos) << why(0);
+  w.onStandIns([&] { w.discoveryLink().set(Link::Way::whole); });
+  ASSERT_TRUE(comesTo(0, 2)) << why(0);
+  holds();
+}
+
+// A store that gives no session shows nobody, and still tells everybody the plan: leases hang on reads alone.
+TEST_F(FleetTest, AStoreThatIsFullOfSessionsHidesSendersAndStopsNone) {
+  begin(2);
+  fleet_->onStore([&] {
+    fleet_->store().full(true);
+    fleet_->store().expireAll();
+  });
+  const std::int64_t plan = change();
+  ASSERT_TRUE(fleet_->eventually([&] {
+    for (std::size_t i = 0; i < 2; ++i) {
+      const auto made = fleet_->calls(i);
+      if (made.empty() || made.back().plan != plan) return false;
+    }
+    return true;
+  }));
+  fleet_->onStore([&] { fleet_->store().full(false); });
+  for (std::size_t i = 0; i < 2; ++i) ASSERT_TRUE(comesTo(i, plan)) << why(i);
+  holds();
+}
+
+// An answer that comes after its caller has given up renews nothing.
+TEST_F(FleetTest, AStoreThatAnswersFarTooLateIsOneThatDoesNot) {
+  begin(2);
+  fleet_->onStore([&] { fleet_->store().late(30 * kSecond); });
+  sleepFor(4 * kSecond);
+  const std::size_t before = callsOf(0) + callsOf(1);
+  sleepFor(kSecond);
+  EXPECT_EQ(before, callsOf(0) + callsOf(1));
+  fleet_->onStore([&] { fleet_->store().late(0); });
+  const std::int64_t plan = change();
+  for (std::size_t i = 0; i < 2; ++i) ASSERT_TRUE(comesTo(i, plan)) << why(i);
+  holds();
+}
+
 // What was decided under which version can be asked of the folder, also while the sender runs.
 TEST_F(FleetTest, TheAuditTellsUnderWhatAMessageWasSent) {
   begin(1);
