Fleet: who is shut out already counts for the halt, and may halt; a halted plan is not halted again

Cause: read again: a plan that shut out too many before any of them had looked (a slow store at half time) was never halted, since those that are shut out hold no session and did not look; and a fleet that could not follow a halted plan either would have put one plan after another.

Change: tooManyBehind counts reports of those shut out under this plan; a halted plan is the operator's; a sender that is shut out looks once a lease, one that is shut out by word not at all.

--- a/src/fleet/command.cpp
+++ b/src/fleet/command.cpp
@@ -195,7 +195,7 @@
   std::size_t live = 0, out = 0, widest = 6;
   for (const Report& r : k.senders) {
     live += r.live;
-    out += r.standing == nameOf(Kind::shut_out);
+    out += r.standing == kShutOut;
     widest = std::max(widest, r.name.size());
   }
   const auto cell = [](std::string s, std::size_t width) {
@@ -207,8 +207,7 @@
               << cell("settings", 16) << cell("daemon file", 16) << cell("list", 6) << cell("since", 20)
               << cell("last seen", 20) << "why\n";
   for (const Report& r : k.senders)
-    std::cout << cell(r.name, widest)
-              << cell(r.live || r.standing == nameOf(Kind::shut_out) ? r.standing : "gone", 11)
+    std::cout << cell(r.name, widest) << cell(r.live || r.standing == kShutOut ? r.standing : "gone", 11)
               << cell(std::to_string(r.own.plan), 6) << cell(r.own.program, 8) << cell(r.own.settings, 16)
               << cell(r.own.daemon, 16) << cell(r.own.list < 0 ? "-" : std::to_string(r.own.list), 6)
               << cell(timeText(r.since), 20) << cell(timeText(r.at), 20) << r.why << '\n';
--- a/src/fleet/part.cpp
+++ b/src/fleet/part.cpp
@@ -216,7 +216,8 @@
     bringing_ = true;
     after(bring_timer_, pauses_.within(kSpread), [this] { bringUp(); });
   }
-  if (standing_.gone(boottimeNow()) >= 0.5 && may_ && !halting_) haltIfTooMany();
+  if (standing_.gone(boottimeNow()) >= 0.5 && !halting_ && !standing_.newest().shut_out.count(spec_.name))
+    haltIfTooMany();
   const Micros lease = standing_.acting().lease;
   Micros next = lease / 8;
   if (may_ && until_ < Standing::kNever) next = std::clamp<Micros>(until_ - boottimeNow(), 1000, next);
@@ -280,7 +281,8 @@
   const Plan plan = standing_.newest();
   const std::int64_t changed = plan_changed_;
   const auto rest = [this] {
-    after(halt_timer_, std::max(kLeastPause, standing_.acting().lease / 16), [this] { halting_ = false; });
+    after(halt_timer_, std::max(kLeastPause, standing_.acting().lease / (may_ ? 16 : 1)),
+          [this] { halting_ = false; });
   };
   store_->list(spec_.senders(), [this, alive = alive_, plan, changed, rest](const Answered& a) {
     if (!*alive) return;
--- a/src/fleet/plan.cpp
+++ b/src/fleet/plan.cpp
@@ -214,10 +214,12 @@
 }
 
 bool tooManyBehind(const Plan& plan, const std::vector<Report>& senders, std::string& names) {
-  if (!plan.strict) return false;
+  // What a halt asks for was in force: one that can't be followed either is the operator's to mend.
+  if (!plan.strict || plan.halted) return false;
   std::size_t all = 0, behind = 0;
   for (const Report& r : senders) {
-    if (!r.live || plan.shut_out.count(r.name)) continue;  // an operator's word is the operator's to count
+    const bool out = r.standing == kShutOut && r.heard >= plan.number;  // and holds no session
+    if ((!r.live && !out) || plan.shut_out.count(r.name)) continue;     // a word is the operator's to count
     ++all;
     if (r.own.plan >= plan.number || lacks(r.own, plan, r.name).empty()) continue;
     ++behind;
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -77,6 +77,7 @@
 // a before b, part by part, as numbers: 0.9.1 before 0.10.
 bool olderProgram(const std::string& a, const std::string& b);
 
+constexpr const char* kShutOut = "shut out";  // of standings, the one that reports are held against
 // What a sender tells of itself at the store.
 struct Report {
   std::string name, standing, why, host, process;
--- a/src/fleet/standing.h
+++ b/src/fleet/standing.h
@@ -26,7 +26,7 @@
   shut_out      // nothing new is taken on and no call begun
 };
 inline const char* nameOf(Kind k) {
-  constexpr const char* kNames[] = {"current", "catching up", "unknown", "shut out"};
+  constexpr const char* kNames[] = {"current", "catching up", "unknown", kShutOut};
   return kNames[static_cast<int>(k)];
 }
 
