Test of kills at each step: what a sender had not heard is in doubt from its death on

Cause: the rig's ledger was told of the death only once the test had noticed it; a delivery just before it then counted as heard, and the notice after the restart as a second end. Seen once under ASan at -j8 (double_ends 1 of 1,053), never in the plain build.

--- a/tests/fleet/processes_test.cpp
+++ b/tests/fleet/processes_test.cpp
@@ -154,6 +154,7 @@
           if (!mine || is_before != before || dead) return;
           if (++seen == step) {
             w.child().signal(SIGKILL);
+            w.ledger.died(monotonicNow());  // what it had not heard of by now is in doubt
             dead = true;
           }
         };
