Listeners: client connections are ended in order, by one function of each

Cause: connections between requests were closed after available() == 0; bytes that came in between made the close a reset, which takes answers with it that the client has not read. Change: leave() and hangUp() send the end, then read until the client ends its side, for a bounded time, and heed nothing of it; idle connections with something to read are served first. A part of the table is kept for those on their way out. Before the process ends the last connections are ended so, within 0.2 s. What has to be closed at once is read away first.

--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -36,6 +36,8 @@
 // After SIGTERM: no call is started that would last longer, and the process is gone well before the 3.7 s at
 // which it may be killed. New clients come for up to 0.4 s.
 constexpr Micros kStopAfter = 3'400'000, kLateClients = 600'000, kLook = 20'000;
+// The last connections are ended in order within this, which fits before the kill.
+constexpr Micros kFarewell = 200'000;
 // Clients hold a third of the descriptors at most: those that hand messages in are held to less, so that one
 // more can always come.
 constexpr std::int64_t kProvenPart = 4;
@@ -461,6 +463,12 @@
     lookAgain();
   }
 
+  // Clients have ended their side of what was ended in order, or had long enough for it.
+  bool farewellIsOver() const {
+    if (!clients_ || clients_->connections() == 0) return true;
+    return monotonicNow() - farewell_from_ >= kFarewell;
+  }
+
   void lookAgain() {
     const bool replaced = host_->suspended();
     const Micros since = stop_from_ == 0 ? 0 : monotonicNow() - stop_from_;
@@ -468,7 +476,11 @@
     const bool quiet = replaced ? no_client && carrier_->out() == 0 && !giver_->unsaid()
                                 : since > kLateClients && no_client && calls_->out() == 0 &&
                                       notices_->owed() == 0 && host_->idle();
-    if (quiet || since >= kStopAfter) {
+    if (farewell_from_ == 0 && (quiet || since >= kStopAfter)) {
+      farewell_from_ = monotonicNow();
+      if (clients_) clients_->finish();
+    }
+    if (farewell_from_ != 0 && farewellIsOver()) {
       signals_.cancel();
       if (daemon_.knowledge.keep && !replaced) keeper_->finish(host_->learned());
       if (fleet_) fleet_->release("stopped");
@@ -488,7 +500,7 @@
   Worker worker_;
   operate::State state_;
   std::unique_ptr<operate::OperatorsDoor> operators_;
-  Micros stop_from_ = 0;
+  Micros stop_from_ = 0, farewell_from_ = 0;
   handover::FolderLock lock_;        // outlives the journal
   std::vector<Outcome> unreported_;  // since the folder was given, for the way back
   bool reload_due_ = false;
--- a/src/doors/http/server.cpp
+++ b/src/doors/http/server.cpp
@@ -507,8 +507,7 @@
     if (hang_up) return hangUp();
     if (slots.empty()) {
       if (ended) return close();
-      error_code e;
-      if (door.away() && !parser && in.empty() && socket.available(e) == 0) return close();
+      if (door.away() && !parser && in.empty() && nothingCame()) return hangUp();
       if (!parser) since = monotonicNow();
     }
     go();
@@ -517,6 +516,7 @@
   // Sends the end and reads on for a while: a close with input unread would take the answer with it.
   void hangUp() {
     if (ended) return close();
+    if (leaving) return;
     error_code ignored;
     socket.shutdown(tcp::socket::shutdown_send, ignored);
     in.clear();
@@ -529,6 +529,14 @@
   // ---- limits
 
   bool idle() const { return slots.empty() && !write_busy && !parser && !leaving; }
+  bool nothingCame() {
+    error_code error;
+    return socket.available(error) == 0 && !error;
+  }
+  // Between requests, unless the next one has come meanwhile, which is then served first.
+  void hangUpIfIdle() {
+    if (idle() && in.empty() && nothingCame()) hangUp();
+  }
 
   void checkLimit(Micros now) {
     if (write_busy && now - write_since >= kWrite) return close();
@@ -545,15 +553,13 @@
     }
     if (!open || last) return;
     if (door.away()) {
-      error_code e;
-      if (idle() && now >= std::max(since, door.away_since_) + momentOf(number) && socket.available(e) == 0)
-        return close();
+      if (idle() && now >= std::max(since, door.away_since_) + momentOf(number)) return hangUpIfIdle();
       // A batch that goes on and on: what was read of it keeps its answers.
       if (batch && !batch->whole && now - door.away_since_ >= kSentAway)
         return spoil({503, "draining", "hand the rest in elsewhere, or here again later"});
     }
     if (idle()) {
-      if (now - since >= (used ? door.limits_.idle : kFirstByte)) close();
+      if (now - since >= (used ? door.limits_.idle : kFirstByte)) hangUpIfIdle();
       return;
     }
     if (!parser) return;
@@ -573,8 +579,7 @@
   }
 
   void drainNow(bool idle_too) {
-    error_code e;
-    if (idle_too && idle() && in.empty() && socket.available(e) == 0) return close();
+    if (idle_too && idle()) return hangUpIfIdle();
     for (const auto& w : waits)  // the message is taken on, and outlasts this process
       if (const auto slot = w.lock()) tellOpen(slot);
     waits.clear();
@@ -586,9 +591,7 @@
     door.open_ -= slots.size() + owed;
     slots.clear();
     owed = 0;
-    error_code ignored;
-    socket.shutdown(tcp::socket::shutdown_both, ignored);
-    socket.close(ignored);
+    closeDrained(socket);
     door.sessions_.erase(shared_from_this());
   }
 };
--- a/src/doors/listener.cpp
+++ b/src/doors/listener.cpp
@@ -14,7 +14,9 @@
 
 namespace {
 constexpr int kKernelBuffer = 32768;
-}
+constexpr std::size_t kPiece = 16384;
+constexpr int kMostPieces = 64;  // read away before a close
+}  // namespace
 
 void bindDoor(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& address) {
   using boost::asio::socket_base;
@@ -67,4 +69,14 @@
   acceptor.set_option(boost::asio::socket_base::receive_buffer_size(kKernelBuffer), ignored);
 }
 
+void closeDrained(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code error;
+  socket.shutdown(boost::asio::socket_base::shutdown_send, error);
+  socket.non_blocking(true, error);
+  static char piece[kPiece];  // one loop, one thread
+  for (int pieces = 0; pieces < kMostPieces && !error; ++pieces)
+    socket.read_some(boost::asio::buffer(piece), error);
+  socket.close(error);
+}
+
 }  // namespace grademux
--- a/src/doors/resp/server.cpp
+++ b/src/doors/resp/server.cpp
@@ -32,7 +32,10 @@
 constexpr Micros kKeep = 300'000'000;       // while few are open, a connection that asks seldom is let be
 constexpr std::size_t kCrowd = 8;           // many are open once they take more than the table's part of this
 constexpr Micros kNewcomer = 200'000;       // one that wants something has said so by then
-constexpr int kMostFaults = 12;             // useless requests in a row, answered ever more slowly
+// Places of the table, and the part of it at most, that are for connections on their way out.
+constexpr std::size_t kClosingReserve = 16, kClosingPart = 16;
+constexpr int kInUse = 8;        // see rank(): these are not ended for others
+constexpr int kMostFaults = 12;  // useless requests in a row, answered ever more slowly
 constexpr Micros kRest = 10'000, kMostRest = 320'000;
 
 bool wholeNumber(const std::string& s, std::int64_t& out) {
@@ -103,7 +106,7 @@
     waiting,  // for a message's end
     writing,  // the answer is on its way
     resting,  // was useless; what comes next waits
-    leaving   // told of an error; the rest of its input is thrown away
+    leaving   // its end was sent; what comes is thrown away until the client ends its side
   };
   Session(RespDoor& c, tcp::socket s) : clients(c), socket(std::move(s)), rest(c.io_) {}
 
@@ -118,7 +121,7 @@
   Micros since = monotonicNow();
   std::size_t thrown = 0;
   int faults = 0;  // useless requests in a row
-  bool closing = false, open = true;
+  bool closing = false, open = true, waits_to_read = false;
   bool useful = false, proven = false;  // has had an answer that was no error; has handed a message in
 
   void enter(Phase p) {
@@ -127,10 +130,14 @@
   }
 
   void wait() {
+    if (waits_to_read) return;
+    waits_to_read = true;
     socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code e) {
+      self->waits_to_read = false;
       const bool reads =
           self->phase == Phase::idle || self->phase == Phase::partial || self->phase == Phase::leaving;
-      if (!self->open || !reads || e == asio::error::operation_aborted) return;
+      if (!self->open || !reads) return;
+      if (e == asio::error::operation_aborted) return self->wait();
       e ? self->close() : self->read();
     });
   }
@@ -208,7 +215,7 @@
     enter(Phase::asked);
     ++clients.unanswered_;
     clients.core_->submit(std::move(put), [self = shared_from_this()](const Answer& a) {
-      if (!self->open) return;  // the door may be gone, too
+      if (!self->open || self->phase != Phase::asked) return;  // the door may be gone, too
       --self->clients.unanswered_;
       self->answer(replyTo(a));
     });
@@ -232,17 +239,16 @@
   }
 
   void answered() {
-    if (closing) return hangUp();
-    error_code e;
-    if (clients.away() && in.empty() && socket.available(e) == 0) return close();
+    if (closing) return leave();
+    if (clients.away() && in.empty() && nothingCame()) return leave();
     // Guards against clients that ask on and on over one connection and are never sent away. What they have
     // sent and was not read is theirs to send again.
-    if (clients.away() && monotonicNow() - clients.away_since_ >= kSentAway) return hangUp();
+    if (clients.away() && monotonicNow() - clients.away_since_ >= kSentAway) return leave();
     if (faults > 1) {
       enter(Phase::resting);
       rest.expires_after(std::chrono::microseconds(std::min(kMostRest, kRest << (faults - 2))));
       rest.async_wait([self = shared_from_this()](error_code stopped) {
-        if (!stopped && self->open) self->goOn();
+        if (!stopped && self->open && self->phase == Phase::resting) self->goOn();
       });
       return;
     }
@@ -254,8 +260,18 @@
     in.empty() ? wait() : next();
   }
 
-  // Sends the end and reads on for a while: a close with input unread would take the reply with it.
-  void hangUp() {
+  bool nothingCame() {
+    error_code error;
+    return socket.available(error) == 0 && !error;
+  }
+
+  // Ends the connection in order: sends the end, then reads until the client ends its side, for a bounded
+  // time, and heeds nothing of it. A close with input unread would reset the connection and take replies with
+  // it that the client has not read; a request that comes from now on is the client's to send again.
+  void leave() {
+    if (!open || phase == Phase::leaving) return;
+    if (phase == Phase::asked || phase == Phase::waiting) --clients.unanswered_;
+    rest.cancel();
     error_code ignored;
     socket.shutdown(tcp::socket::shutdown_send, ignored);
     in.clear();
@@ -263,17 +279,22 @@
     wait();
   }
 
+  // Between requests, unless the next one has come meanwhile, which is then served first.
+  void leaveIfIdle() {
+    if (phase == Phase::idle && nothingCame()) leave();
+  }
+
   // Guards against connections that hold their place for nothing: silent, half-sent, never read or left open.
   void checkLimit(Micros now) {
     const Micros spent = now - since;
     switch (phase) {
       case Phase::idle:
         if (clients.away() && now >= std::max(since, clients.away_since_) + momentOf(client.id)) {
-          error_code e;
-          if (socket.available(e) == 0) close();
+          leaveIfIdle();
           break;
         }
-        if (spent >= (!useful && faults == 0 ? kFirstByte : clients.crowded() ? kMayClose : kKeep)) close();
+        if (spent >= (!useful && faults == 0 ? kFirstByte : clients.crowded() ? kMayClose : kKeep))
+          leaveIfIdle();
         break;
       case Phase::partial:
         if (spent < kWhole && !(clients.away() && now - clients.away_since_ >= kLastPartial)) break;
@@ -301,21 +322,21 @@
     const Micros spent = now - since;
     if (phase == Phase::asked || phase == Phase::writing) return {9, since};
     if (phase == Phase::waiting) return {7, since};  // closed, it may ask again: nothing is lost
-    if (phase == Phase::partial && proven) return {8, since};
+    if (phase == Phase::partial && proven) return {kInUse, since};
     // A newcomer's first request is on its way: closed now, it would have failed.
     const bool useless = phase == Phase::leaving || phase == Phase::resting;
     if (useless || !proven) return {spent >= kNewcomer ? !useless : 4, since};
     return {spent >= kMayClose ? 2 : 3, since};
   }
 
+  // At once: the client has ended, broke off or does not read, or its descriptor is needed. What has come is
+  // read away first.
   void close() {
     if (!open) return;
     open = false;
     if (phase == Phase::asked || phase == Phase::waiting) --clients.unanswered_;
-    error_code ignored;
     rest.cancel();
-    socket.shutdown(tcp::socket::shutdown_both, ignored);
-    socket.close(ignored);
+    closeDrained(socket);
     clients.ended(shared_from_this());
   }
 };
@@ -341,21 +362,38 @@
   const auto all = sessions_;
   for (const auto& s : all) {
     s->open = false;
-    error_code ignored;
-    s->socket.close(ignored);
+    closeDrained(s->socket);
   }
 }
 
-// At the limit the one that is least in use makes room. Guards against idle, silent and useless connections
-// that leave good clients waiting in the backlog, and against running out of descriptors, which the calls to
-// endpoints need too.
-bool RespDoor::makeRoom() {
+// The connection that is least in use, if it may be ended: `leaving` ones counted or not.
+std::shared_ptr<RespDoor::Session> RespDoor::leastUsed(bool leaving) const {
   const Micros now = monotonicNow();
+  std::shared_ptr<Session> least;
+  std::pair<int, Micros> least_rank{kInUse, 0};
+  for (const auto& s : sessions_) {
+    if (!leaving && s->phase == Session::Phase::leaving) continue;
+    const auto rank = s->rank(now);
+    if (rank < least_rank) {
+      least = s;
+      least_rank = rank;
+    }
+  }
+  return least;
+}
+
+// Near the limit the one that is least in use makes room: in order while there is a reserve, at once when the
+// table is full. Guards against idle, silent and useless connections that leave good clients waiting in the
+// backlog, and against running out of descriptors, which the calls to endpoints need too.
+bool RespDoor::makeRoom() {
+  const std::size_t reserve = std::min(kClosingReserve, limits_.all / kClosingPart);
+  const auto leaving = static_cast<std::size_t>(std::count_if(
+      sessions_.begin(), sessions_.end(), [](const auto& s) { return s->phase == Session::Phase::leaving; }));
+  if (reserve > 0 && sessions_.size() - leaving + reserve >= limits_.all)
+    if (const auto least = leastUsed(false)) least->leave();
   while (sessions_.size() >= limits_.all) {
-    std::shared_ptr<Session> least;
-    for (const auto& s : sessions_)
-      if (!least || s->rank(now) < least->rank(now)) least = s;
-    if (!least || least->rank(now).first >= 8) return false;
+    const auto least = leastUsed(true);
+    if (!least) return false;
     least->close();
   }
   return true;
@@ -367,14 +405,12 @@
   std::size_t proven = 0;
   std::shared_ptr<Session> longest;
   for (const auto& s : sessions_) {
-    if (!s->proven) continue;
+    if (!s->proven || s->phase == Session::Phase::leaving) continue;
     ++proven;
-    error_code e;
-    if (s->phase == Session::Phase::idle && (!longest || s->since < longest->since) &&
-        s->socket.available(e) == 0)
+    if (s->phase == Session::Phase::idle && (!longest || s->since < longest->since) && s->nothingCame())
       longest = s;
   }
-  if (longest && proven >= limits_.proven) longest->close();
+  if (longest && proven >= limits_.proven) longest->leave();
 }
 
 // Guards against clients that ask once and keep their connection: those who hold it have only so many, too,
@@ -448,12 +484,23 @@
 void RespDoor::endBetweenRequests() {
   const auto all = sessions_;
   for (const auto& s : all) {
-    error_code e;
-    if (s->phase == Session::Phase::idle && s->socket.available(e) == 0) s->close();
-    else if (s->phase == Session::Phase::waiting) s->lookForEnd(monotonicNow());
+    s->leaveIfIdle();
+    if (s->phase == Session::Phase::waiting) s->lookForEnd(monotonicNow());
   }
 }
 
+void RespDoor::finish() {
+  paused_ = true;  // whoever waits in the backlog has not been heard
+  error_code ignored;
+  acceptor_.cancel(ignored);
+  pause_.cancel();
+  newcomer_ = nullptr;
+  const auto all = sessions_;
+  for (const auto& s : all)
+    if (s->phase != Session::Phase::writing) s->leave();
+    else s->closing = true;
+}
+
 void RespDoor::pause() {
   paused_ = true;
   away_since_ = monotonicNow();
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -36,7 +36,10 @@
   std::size_t connections() const override { return sessions_.size(); }
   // Another process takes the address over: newcomers wait for it, connections end between requests.
   void pause();
-  void resume();                 // it did not come to that: newcomers are served again
+  void resume();  // it did not come to that: newcomers are served again
+  // The process is about to end: nobody is accepted any more, and each connection is ended in order, which
+  // takes a moment; see connections().
+  void finish();
   std::size_t halfRead() const;  // requests that have begun to come
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_address_; }
   void setLimits(Limits limits) { limits_ = limits; }  // what is over them ends as others come
@@ -44,6 +47,7 @@
  private:
   struct Session;
   void accept();
+  std::shared_ptr<Session> leastUsed(bool leaving) const;
   bool makeRoom();
   bool crowded() const;
   bool away() const { return removed_ || paused_ || state_->sendsAway(); }
--- a/tests/doors/resp_server_test.cpp
+++ b/tests/doors/resp_server_test.cpp
@@ -27,7 +27,7 @@
   Client silent(f.program.port()), half(f.program.port()), head(f.program.port());
   half.send("*5\r\n$7\r\nMSG.PUT\r\n$16\r\n0000");
   head.send("*1");
-  EXPECT_TRUE(silent.ended());
+  EXPECT_TRUE(silent.endedInOrder());
   for (Client* c : {&half, &head}) {
     EXPECT_EQ(0u, c->line().find("-ERR"));
     EXPECT_TRUE(c->ended());
@@ -55,8 +55,34 @@
     kept.push_back(std::make_unique<Client>(f.program.port()));
     ASSERT_EQ("+OK", kept.back()->put("m" + std::to_string(i), "notice", 7));
   }
-  EXPECT_TRUE(kept[0]->ended());
-  EXPECT_TRUE(kept[1]->ended());
+  EXPECT_TRUE(kept[0]->endedInOrder());
+  EXPECT_TRUE(kept[1]->endedInOrder());
+}
+
+// Risk: a request crosses the end of its connection. A close over it resets the connection, and the last
+// answer, which the client has not read yet, is gone with it.
+TEST(BadClients, AConnectionIsEndedInOrderWhenTheProcessStops) {
+  Small f;
+  Client resting(f.program.port()), idle(f.program.port());
+  resting.send(Client::request({"PING"}));  // its answer stays unread
+  EXPECT_EQ("+PONG", idle.ask({"PING"}));
+  EXPECT_EQ("+OK", idle.put("m", "order", 7));
+  f.program.signal(SIGTERM);
+  EXPECT_TRUE(idle.endedInOrder());
+  EXPECT_EQ("+PONG", resting.line());
+  EXPECT_TRUE(resting.endedInOrder());
+  EXPECT_EQ(0, f.program.wait());
+}
+
+// The same for the one that makes room for others in a table that is nearly full.
+TEST(BadClients, AConnectionThatMakesRoomIsEndedInOrder) {
+  Small f;
+  std::vector<std::unique_ptr<Client>> kept;
+  for (int i = 0; i < 200 && (kept.empty() || !kept[0]->hasEnded()); ++i) {
+    kept.push_back(std::make_unique<Client>(f.program.port()));
+    ASSERT_EQ("+PONG", kept.back()->ask({"PING"})) << i;
+  }
+  EXPECT_TRUE(kept[0]->endedInOrder());
 }
 
 // Risk: the same useless request again and again, or hundreds at once, take the processor from all others.
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -82,9 +82,7 @@
 }
 
 // A port that nothing listens on.
-inline std::string closedAddress() {
-  return "127.0.0.1:" + std::to_string(rig::ownPort());
-}
+inline std::string closedAddress() { return "127.0.0.1:" + std::to_string(rig::ownPort()); }
 
 struct Seen {  // a request as a server had it
   std::string head, body;
@@ -350,6 +348,18 @@
     }
   }
   bool ended() { return line().empty(); }
+  // The same, of what has come by now.
+  bool hasEnded() const {
+    char byte;
+    return ::recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+  // The other side has ended its sending, and reads what is sent to it from now on: with a connection that
+  // was closed over it, the first bytes bring a reset and the second can't be sent.
+  bool endedInOrder() {
+    if (!ended()) return false;
+    const bool first = ::send(fd_, "*", 1, MSG_NOSIGNAL) == 1;
+    return first && ::send(fd_, "5", 1, MSG_NOSIGNAL) == 1;
+  }
   // All that comes until the connection ends.
   std::string rest() {
     for (;;) {
