Notices go on a new connection after 150 ms; waits of called-off calls have a test of their own

Cause: a notice whose connection has fallen silent was sent again after 550 ms, and is lost 300 ms after its message's time is up. Change: the agent answers at once, so 150 ms are the limit; Health.AToldWaitIsHeededWhateverBecameOfTheCall.

--- a/src/decision/bound.h
+++ b/src/decision/bound.h
@@ -71,9 +71,8 @@
     return pass ? g.wait_until : std::max(g.wait_until, paced);
   }
 
-  // Where this sender is one of many, first tries pass pacing that would outlast the message, but not while
-  // the destination is down: the usual traffic of those that saw an outage pushed it over. Guards against
-  // ramps and parts that last for rare senders. Harm: calls above a limit, which may use it up.
+  // One of many: first tries pass pacing that would outlast the message, but not while the destination is
+  // down. Guards against ramps and parts that last for rare senders. Harm: calls above a limit.
   Micros opensAt(Server& s, const Message* m) {
     const double limit = scope(s).limit, held = static_cast<double>(s.dest->held.size()) / trafficSpan();
     const double own = std::max(perSecond(s.dest->traffic), held);
--- a/src/decision/logic.cpp
+++ b/src/decision/logic.cpp
@@ -73,4 +73,4 @@
   return impl_->decide(now, events);
 }
 
-}  // namespace grademux
+}  // namespace grademux
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -12,8 +12,11 @@
 namespace {
 
 constexpr int kTurnedAway = 503;
-constexpr Micros kNoticeLimit = 500'000;  // for an answer that comes at once
+// The agent answers a notice at once. One that is not answered by then goes on a new connection: the old one
+// may have fallen silent, and a notice is lost 300 ms after its message's time is up.
+constexpr Micros kNoticeLimit = 150'000;
 constexpr Micros kNoticePause = 50'000;
+static_assert(kNoticeLimit + kNoticePause <= 200'000, "the second try leaves 100 ms for itself");
 constexpr std::size_t kListLimit = 64u << 20;   // bytes: some 400,000 endpoints
 constexpr std::size_t kReadAtOnce = 64u << 10;  // bytes of a list that are read on the loop
 
--- a/tests/decision/health_test.cpp
+++ b/tests/decision/health_test.cpp
@@ -124,4 +124,27 @@
   EXPECT_EQ(r.run({r.arrival("x", "safe", 3), r.arrival("y", "safe", 4)}).size(), 2u);
 }
 
+// Risk: a wait is told by a head whose body breaks off, or lies unread as the call is called off, and is
+// broken by the next message.
+TEST(Health, AToldWaitIsHeededWhateverBecameOfTheCall) {
+  for (const Result result : {Result::full, Result::reset, Result::timeout, Result::cancelled}) {
+    for (const bool stale : {false, true}) {
+      if (stale && result != Result::reset) continue;
+      SCOPED_TRACE(static_cast<int>(result));
+      Rig rig;
+      rig.list({makeEndpoint("e", 7)});
+      ASSERT_EQ(1u, rig.arrive("m", "safe", 7).size());
+      rig.at(100 * kMs);
+      Outcome told = rig.outcome("m", 0, result, 100 * kMs, 900 * kMs);
+      told.stale = stale;
+      EXPECT_TRUE(rig.run({told}).empty());
+      EXPECT_TRUE(rig.at(200 * kMs).arrive("n", "safe", 7).empty());
+      Micros first = 0;
+      for (Micros t = 250 * kMs; t < 15 * kS && first == 0; t += 50 * kMs)
+        if (!rig.at(t).wake().empty()) first = t;
+      EXPECT_GE(first, 1000 * kMs);  // and it is sent at all
+    }
+  }
+}
+
 }  // namespace
