--- a/rig/relay.cpp
+++ b/rig/relay.cpp
@@ -7,10 +7,10 @@
 #include <deque>
 #include <map>
 
-#include "../src/carriers/http/http_carrier.h"
 #include "../src/daemon/config.h"
 #include "../src/doors/resp/server.h"
 #include "../src/net/address.h"
+#include "../src/transport/http/http_transport.h"
 
 namespace grademux::rig {
 
@@ -20,10 +20,10 @@
  public:
   Relay(boost::asio::io_context& io, const Config& c)
       : config_(c),
-        carrier_(io, {c.settings.dial_timeout, c.settings.conn_idle, 256}, [this](Outcome) { next(); }) {
+        transport_(io, {c.settings.dial_timeout, c.settings.conn_idle, 256}, [this](Outcome) { next(); }) {
     for (const json& e : c.known["endpoints"]) {
       const std::string name = e["name"];
-      carrier_.address(name, e["address"]);
+      transport_.address(name, e["address"]);
       endpoints_[e["group"].get<std::int64_t>()].push_back(name);
     }
   }
@@ -37,9 +37,9 @@
 
  private:
   void next() {
-    while (!waiting_.empty() && carrier_.out() < static_cast<std::size_t>(config_.settings.slots)) {
+    while (!waiting_.empty() && transport_.out() < static_cast<std::size_t>(config_.settings.slots)) {
       const auto& all = endpoints_[waiting_.front().destination];
-      carrier_.call({waiting_.front(), 0, all[turn_++ % all.size()], 5'000'000});
+      transport_.call({waiting_.front(), 0, all[turn_++ % all.size()], 5'000'000});
       waiting_.pop_front();
     }
   }
@@ -47,7 +47,7 @@
   std::map<std::int64_t, std::vector<std::string>> endpoints_;
   std::deque<TakenOn> waiting_;
   std::size_t turn_ = 0;
-  HttpCarrier carrier_;
+  HttpTransport transport_;
 };
 
 }  // namespace
--- a/rig/relay.h
+++ b/rig/relay.h
@@ -1,4 +1,4 @@
-// grademux rig: a bare relay: the sender's own door and carrier with nothing between, no decision and no
+// grademux rig: a bare relay: the sender's own door and transport with nothing between, no decision and no
 // journal. The limit that the sender's throughput is held against.
 #pragma once
 
--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -40,14 +40,14 @@
 
 }  // namespace
 
-Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
-           EndNotices& notices)
+Host::Host(asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
+           Transport& transport, EndNotices& notices)
     : io_(io),
       settings_(settings),
       classes_(decision::classesOf(settings_)),
       sender_(std::move(settings), seed),
       journal_(journal),
-      carrier_(carrier),
+      transport_(transport),
       notices_(notices),
       turn_timer_(io),
       wake_timer_(io) {
@@ -169,9 +169,9 @@
   std::vector<std::pair<std::string, std::string>> kept;
   for (ListChange& c : s.changes) {
     const Endpoint& e = c.entry.endpoint;
-    carrier_.withhold(e.id);
-    if (e.state == EndpointState::gone) carrier_.forget(e.id);
-    else carrier_.address(e.id, c.entry.address);
+    transport_.withhold(e.id);
+    if (e.state == EndpointState::gone) transport_.forget(e.id);
+    else transport_.address(e.id, c.entry.address);
     kept.emplace_back(e.id, std::move(c.text));
     u.endpoints.push_back(std::move(c.entry.endpoint));
     u.endpoints.back().state = shown(u.endpoints.back());
@@ -346,7 +346,7 @@
     if (const ListedEndpoint* e = list_.find(id)) {
       u.endpoints.push_back(e->endpoint);
       u.endpoints.back().state = shown(e->endpoint);
-      if (u.endpoints.back().state != EndpointState::ready) carrier_.withhold(id);
+      if (u.endpoints.back().state != EndpointState::ready) transport_.withhold(id);
     }
   if (!u.endpoints.empty()) add(std::move(u));
 }
@@ -458,16 +458,16 @@
       const auto [send, attempt, version] = sends[next++];
       auto it = held_.find(s->id);
       if (kept && mayBegin({s->id, attempt}, it->second, s->endpoint)) {
-        carrier_.call({it->second.message, attempt, s->endpoint, s->timeout,
-                       s->write_within > 0 ? s->write_within : kNoWriteLimit,
-                       right_ ? right_->stamp(version) : ""});
+        transport_.call({it->second.message, attempt, s->endpoint, s->timeout,
+                         s->write_within > 0 ? s->write_within : kNoWriteLimit,
+                         right_ ? right_->stamp(version) : ""});
         continue;
       }
       notSent(s->id, attempt);
     } else if (const auto* c = std::get_if<Cancel>(&a)) {
-      carrier_.cancel(c->id, c->attempt);
+      transport_.cancel(c->id, c->attempt);
     } else if (const auto* i = std::get_if<CloseIdle>(&a)) {
-      carrier_.closeIdle(i->endpoint);
+      transport_.closeIdle(i->endpoint);
     } else if (const auto* w = std::get_if<WakeIn>(&a)) {
       wakes_.insert((last_turn_ + w->span + kWakeGrain - 1) / kWakeGrain * kWakeGrain);
     }
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -11,13 +11,13 @@
 #include <unordered_map>
 #include <vector>
 
-#include "../carriers/carrier.h"
 #include "../knowledge/book.h"
 #include "../membership/list.h"
 #include "journal.h"
 #include "notices.h"
 #include "right.h"
 #include "settings.h"
+#include "transport.h"
 
 namespace grademux {
 
@@ -25,8 +25,8 @@
  public:
   // Sees each turn of the decision module, after it: the events, and what they were answered with.
   using Tap = std::function<void(Micros now, const std::vector<Event>&, const std::vector<Action>&)>;
-  Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal, Carrier& carrier,
-       EndNotices& notices);
+  Host(boost::asio::io_context& io, Settings settings, std::uint64_t seed, Journal& journal,
+       Transport& transport, EndNotices& notices);
 
   // Takes over what the journal, the configuration and an earlier process's book know, each as far as it is
   // still trusted: before clients are served.
@@ -109,7 +109,7 @@
   Learned surveyed_;
   std::function<void()> on_ailment_;
   Journal& journal_;
-  Carrier& carrier_;
+  Transport& transport_;
   EndNotices& notices_;
   MembershipList list_;
   bool telling_ = false;  // a slice waits for its turn
--- a/src/carriers/carrier.h
+++ b/src/core/transport.h
@@ -1,4 +1,4 @@
-// grademux: the seam of everything that performs calls to endpoints. A carrier makes one attempt when it is
+// grademux: the seam of everything that performs calls to endpoints. A transport makes one attempt when it is
 // told to and reports one Outcome for it; when, where and whether again is decided elsewhere. All functions
 // are called on the loop thread.
 #pragma once
@@ -7,13 +7,13 @@
 #include <limits>
 #include <string>
 
-#include "../core/message.h"
+#include "message.h"
 
 namespace grademux {
 
 constexpr Micros kNoWriteLimit = std::numeric_limits<Micros>::max();
 
-// One attempt, as a carrier is told to make it. Spans are in microseconds, from call() on.
+// One attempt, as a transport is told to make it. Spans are in microseconds, from call() on.
 struct CallRequest {
   const TakenOn& message;  // read within call() alone
   int attempt = 0;
@@ -25,11 +25,11 @@
   std::string stamp = {};  // the version that it was decided under, for the endpoint to see; empty: none
 };
 
-class Carrier {
+class Transport {
  public:
   using OnOutcome = std::function<void(Outcome)>;  // once for each call(), never from within it
 
-  virtual ~Carrier() = default;
+  virtual ~Transport() = default;
   // An endpoint is listed, new or at another address: the next call goes there.
   virtual void address(const std::string& endpoint, const std::string& address) = 0;
   // It is listed no more. Calls that have been written run on to their outcome.
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "../admission/admission.h"
-#include "../carriers/http/http_carrier.h"
 #include "../core/clock.h"
 #include "../core/host.h"
 #include "../discovery/discovery.h"
@@ -24,6 +23,7 @@
 #include "../net/address.h"
 #include "../operate/door.h"
 #include "../replay/recorder.h"
+#include "../transport/http/http_transport.h"
 #include "doors.h"
 #include "fleet_part.h"
 #include "notify.h"
@@ -69,7 +69,7 @@
           static_cast<std::size_t>(std::min(clients, c.sockets / kProvenPart))};
 }
 
-HttpCarrier::Limits carrierLimits(const Config& c) {
+HttpTransport::Limits transportLimits(const Config& c) {
   return {c.settings.dial_timeout, c.settings.conn_idle, static_cast<std::size_t>(leftOf(c) / 5)};
 }
 
@@ -169,10 +169,10 @@
       platform_notices_ = notices.get();
       notices_ = std::move(notices);
     }
-    carrier_ = std::make_unique<HttpCarrier>(io_, carrierLimits(config_),
-                                             [this](Outcome o) { ended(std::move(o)); });
+    transport_ = std::make_unique<HttpTransport>(io_, transportLimits(config_),
+                                                 [this](Outcome o) { ended(std::move(o)); });
     calls_ = std::make_unique<handover::InheritedCalls>(
-        *carrier_, [this](Outcome o) { host_->outcome(std::move(o)); },
+        *transport_, [this](Outcome o) { host_->outcome(std::move(o)); },
         [this](const handover::Message& m) {
           if (taker_) taker_->say(m);
         });
@@ -203,7 +203,7 @@
         [this] { return journal_->spare(); }, [this](std::uint64_t bytes) { journal_->beside(bytes); });
     journal_->onTight([this] { return keeper_->giveWay(); });
     host_->onAilment([this] { keeper_->soon(); });
-    carrier_->setScopes([this](const std::string& endpoint) { return host_->waitScope(endpoint); });
+    transport_->setScopes([this](const std::string& endpoint) { return host_->waitScope(endpoint); });
     if (daemon_.fleet) {
       fleet_ = std::make_unique<FleetPart>(
           io_, worker_, *daemon_.fleet, config_, daemon_, journal_->epoch(),
@@ -211,7 +211,7 @@
           [this](bool may, const std::string& why) { mayAct(may, why); },
           [this](const std::vector<std::string>& endpoints) { host_->reshow(endpoints); });
       host_->bind(&fleet_->right());
-      carrier_->setGuard([this](const std::string& endpoint) { return fleet_->right().still(endpoint); });
+      transport_->setGuard([this](const std::string& endpoint) { return fleet_->right().still(endpoint); });
     }
     if (given) calls_->inherit(given->out);
     host_->recover(config_.known, keeper_->read(), calls_->inherited());
@@ -268,7 +268,7 @@
           return false;
         },
         [this] { resume(); },
-        [this](const CallId& c) { carrier_->cancel(c.first, c.second); },
+        [this](const CallId& c) { transport_->cancel(c.first, c.second); },
         [this] {
           state_.stop("another process has taken over");
           unreported_.clear();
@@ -286,8 +286,8 @@
     if (fleet_) fleet_->release("handed over");
     if (daemon_.knowledge.keep) keeper_->finish(host_->learned());
     host_->suspend();
-    carrier_->closeAllIdle();
-    const handover::Given given{state_.standby(), carrier_->outCalls()};
+    transport_->closeAllIdle();
+    const handover::Given given{state_.standby(), transport_->outCalls()};
     log::write(log::Event::handover_given, {{"calls", given.out.size()}});
     lock_.release();
     return given;
@@ -388,7 +388,7 @@
   // Whole, in one step between two turns: what comes after it is bound by the new settings.
   void retune(const Config& fresh) {
     host_->retune(fresh.settings);
-    carrier_->setLimits(carrierLimits(fresh));
+    transport_->setLimits(transportLimits(fresh));
     admission_->setPause(fresh.settings.max_pause);
     if (clients_) clients_->setLimits(clientLimits(fresh, daemon_));
     if (watcher_) watcher_->setSenders(fresh.settings.senders);
@@ -473,7 +473,7 @@
     const bool replaced = host_->suspended();
     const Micros since = stop_from_ == 0 ? 0 : monotonicNow() - stop_from_;
     const bool no_client = (!clients_ || clients_->open() == 0) && doors_.open() == 0;
-    const bool quiet = replaced ? no_client && carrier_->out() == 0 && !giver_->unsaid()
+    const bool quiet = replaced ? no_client && transport_->out() == 0 && !giver_->unsaid()
                                 : since > kLateClients && no_client && calls_->out() == 0 &&
                                       notices_->owed() == 0 && host_->idle();
     if (farewell_from_ == 0 && (quiet || since >= kStopAfter)) {
@@ -509,7 +509,7 @@
   std::unique_ptr<Journal> journal_;
   std::unique_ptr<EndNotices> notices_;
   Notices* platform_notices_ = nullptr;  // the same, on a platform
-  std::unique_ptr<HttpCarrier> carrier_;
+  std::unique_ptr<HttpTransport> transport_;
   std::unique_ptr<handover::InheritedCalls> calls_;
   std::unique_ptr<handover::Taker> taker_;
   std::unique_ptr<FleetPart> fleet_;
--- a/src/doors/resp/server.h
+++ b/src/doors/resp/server.h
@@ -1,21 +1,20 @@
-// grademux: the RESP2 server that clients hand messages to: the commands of commands.h, each request answered
-// in turn. Every step of a connection has a time limit; a full table makes room for newcomers.
+// grademux: the RESP2 listener that clients hand messages to: accepts connections, bounds how many there are,
+// and makes room for newcomers in a full table. What happens on one connection: session.h.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <memory>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "../door.h"
+#include "session.h"
 
 namespace grademux {
 
-class RespDoor : public Door {
+class RespDoor : public Door, private SessionOwner {
  public:
   // Connections altogether, and those among them that have handed a message in.
   struct Limits {
@@ -32,12 +31,12 @@
 
   void start(Intake& core, const operate::State& state) override;
   void drain(Leaving how) override;
-  std::size_t open() const override { return unanswered_; }
+  std::size_t open() const override;
   std::size_t connections() const override { return sessions_.size(); }
   // Another process takes the address over: newcomers wait for it, connections end between requests.
   void pause();
   void resume();  // it did not come to that: newcomers are served again
-  // The process is about to end: nobody is accepted any more, and each connection is ended in order, which
+  // The process is about to end: nobody is accepted any more, and each connection is closed gracefully, which
   // takes a moment; see connections().
   void finish();
   std::size_t halfRead() const;  // requests that have begun to come
@@ -45,36 +44,42 @@
   void setLimits(Limits limits) { limits_ = limits; }  // what is over them ends as others come
 
  private:
-  struct Session;
+  using SessionPtr = std::shared_ptr<RespSession>;
+
+  Intake& intake() override { return *core_; }
+  RespFacts facts() const override;
+  bool sendsAway() const override { return removed_ || paused_ || state_->sendsAway(); }
+  Micros sentAwayAt() const override { return sent_away_at_; }
+  bool crowded() const override;
+  std::vector<char>& readBuffer() override { return read_buffer_; }
+  void closed(const SessionPtr& session) override { sessions_.erase(session); }
+
   void accept();
-  std::shared_ptr<Session> leastUsed(bool leaving) const;
+  void admit(boost::asio::ip::tcp::socket socket);
+  void acceptLater();
+  void stopAccepting();
   bool makeRoom();
-  bool crowded() const;
-  bool away() const { return removed_ || paused_ || state_->sendsAway(); }
+  SessionPtr leastUsed(bool closing_too) const;
+  std::size_t countIn(RespSession::Phase phase) const;
   void limitProven();
-  void admit();
-  void retryAccept();
   void sweep();
-  void endBetweenRequests();
-  void ended(const std::shared_ptr<Session>& s);
+  void closeIdle();
 
   boost::asio::io_context& io_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::ip::tcp::endpoint acceptor_address_;
-  boost::asio::steady_timer pause_, sweeper_;
+  boost::asio::steady_timer accept_timer_, sweep_timer_;
   Limits limits_;
   Intake* core_ = nullptr;
   const operate::State* state_ = nullptr;
-  std::set<std::shared_ptr<Session>> sessions_;
-  std::shared_ptr<Session> newcomer_;  // accepted, waits for room
-  std::vector<char> piece_;  // what is read goes through it: a connection that waits holds no buffer
-  std::size_t unanswered_ = 0;
-  std::int64_t next_id_ = 0;  // of connections
-  Micros since_ = 0;          // started
-  Micros away_since_ = 0;     // drained last
+  std::set<SessionPtr> sessions_;
+  std::unique_ptr<boost::asio::ip::tcp::socket> newcomer_;  // accepted, waits for room
+  std::vector<char> read_buffer_;
+  std::int64_t next_number_ = 0;  // of connections
+  Micros started_at_ = 0, sent_away_at_ = 0;
   bool accepting_ = false, removed_ = false;
-  bool paused_ = false;  // another process takes the address over
-  bool passed_ = false;  // the listening socket
+  bool paused_ = false;  // nobody is accepted: another process takes the address over, or this one ends
+  bool passed_listener_ = false;  // the listening socket is another's, too
 };
 
 }  // namespace grademux
--- /dev/null
+++ b/src/doors/resp/session.cpp
@@ -0,0 +1,263 @@
+// grademux: client connections of the RESP2 listener; see session.h.
+#include "session.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+
+#include "../../core/clock.h"
+#include "../door.h"
+#include "../listener.h"
+#include "parser.h"
+#include "put_request.h"
+
+namespace grademux {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kMostDiscarded = 1u << 20;  // bytes, after the end was sent
+// A connection is owed an error or its end within 3 s. Limits on: the first byte, a whole request from its
+// first byte on, a reply's way out, and the discard after the end.
+constexpr Micros kFirstByteLimit = 2'000'000, kRequestLimit = 2'000'000, kWriteLimit = 2'000'000,
+                 kClosingLimit = 500'000;
+constexpr Micros kLastRequestLimit = 3'500'000;  // of a request, since clients are sent away
+constexpr Micros kMayClose = 2'000'000;          // without a request for so long, a client expects the end
+constexpr Micros kKeepAlive = 300'000'000;  // while few are open, a connection that asks seldom is let be
+constexpr Micros kNewcomer = 200'000;       // one that wants something has said so by then
+constexpr int kMostUseless = 12;            // useless requests in a row, answered ever more slowly
+constexpr Micros kThrottle = 10'000, kMostThrottle = 320'000;
+
+}  // namespace
+
+RespSession::RespSession(asio::io_context& io, SessionOwner& owner, tcp::socket socket, std::int64_t number)
+    : owner_(owner), socket_(std::move(socket)), throttle_timer_(io), since_(monotonicNow()) {
+  client_.id = number;
+}
+
+void RespSession::enter(Phase phase) {
+  if (phase != Phase::partial || phase_ != phase) since_ = monotonicNow();
+  phase_ = phase;
+}
+
+void RespSession::waitToRead() {
+  if (waits_to_read_) return;
+  waits_to_read_ = true;
+  socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+    self->waits_to_read_ = false;
+    const bool reads =
+        self->phase_ == Phase::idle || self->phase_ == Phase::partial || self->phase_ == Phase::closing;
+    if (!self->open_ || !reads) return;
+    if (error == asio::error::operation_aborted) return self->waitToRead();
+    error ? self->close() : self->read();
+  });
+}
+
+void RespSession::read() {
+  error_code error;
+  std::vector<char>& buffer = owner_.readBuffer();
+  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) return waitToRead();
+  if (error) return close();
+  if (phase_ == Phase::closing) {
+    discarded_ += size;
+    return discarded_ >= kMostDiscarded ? close() : waitToRead();
+  }
+  in_.append(buffer.data(), size);
+  parse();
+}
+
+// One request at a time; the next is read once this one is answered.
+void RespSession::parse() {
+  std::vector<std::string> words;
+  std::size_t used = 0;
+  std::string error;
+  switch (parseRequest(in_, words, used, error, knowsCommand)) {
+    case Parsed::partial:
+      enter(in_.empty() ? Phase::idle : Phase::partial);
+      return waitToRead();
+    case Parsed::malformed:
+      last_reply_ = true;
+      return answer("-ERR " + error + "\r\n");
+    case Parsed::whole:
+      break;
+  }
+  in_.erase(0, used);
+  if (in_.empty()) in_.shrink_to_fit();
+  run(words);
+}
+
+void RespSession::run(std::vector<std::string>& words) {
+  const RespCommand command = readCommand(words, client_, owner_.facts());
+  switch (command.does) {
+    case RespCommand::Does::put:
+      return put(words);
+    case RespCommand::Does::get:
+      return answer(statusReply(owner_.intake().status(words[1]), client_.protocol));
+    case RespCommand::Does::wait:
+      return waitForOutcome(words);
+    case RespCommand::Does::quit:
+      last_reply_ = true;
+      break;
+    case RespCommand::Does::reply:
+      break;
+  }
+  answer(command.reply);
+}
+
+void RespSession::put(std::vector<std::string>& words) {
+  PutRequest request = readPut(words);
+  if (request.error) return answer("-ERR " + *request.error + "\r\n");
+  enter(Phase::asked);
+  owner_.intake().submit(std::move(request.submission), [self = shared_from_this()](const Answer& given) {
+    // The connection, and the listener with it, may be gone by now.
+    if (self->open_ && self->phase_ == Phase::asked) self->answer(replyTo(given));
+  });
+}
+
+void RespSession::waitForOutcome(const std::vector<std::string>& words) {
+  if (!readWait(words[2], patience_)) return answer("-ERR a whole number of milliseconds is expected\r\n");
+  awaited_id_ = words[1];
+  enter(Phase::waiting);
+  checkOutcome(monotonicNow());
+}
+
+void RespSession::checkOutcome(Micros now) {
+  if (!open_ || phase_ != Phase::waiting) return;
+  const Status status = owner_.intake().status(awaited_id_);
+  const bool may_wait = now - since_ < patience_ && !owner_.sendsAway();
+  if (status.state == Status::State::open && may_wait) return;
+  answer(statusReply(status, client_.protocol));
+}
+
+// Guards all others against one that asks for what can't be done as fast as it is turned away: it is heard
+// ever more slowly, and then no more.
+void RespSession::answer(const std::string& reply) {
+  const bool useless = reply.rfind("-ERR", 0) == 0;
+  useless_requests_ = useless ? useless_requests_ + 1 : 0;
+  useful_ = useful_ || !useless;
+  proven_ = proven_ || (!useless && phase_ == Phase::asked);
+  last_reply_ = last_reply_ || useless_requests_ >= kMostUseless;
+  out_ = reply;
+  enter(Phase::writing);
+  asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](error_code error, std::size_t) {
+    if (!self->open_) return;
+    error ? self->close() : self->answered();
+  });
+}
+
+void RespSession::answered() {
+  if (last_reply_) return closeGracefully();
+  if (owner_.sendsAway()) {
+    if (in_.empty() && nothingCame()) return closeGracefully();
+    // Guards against clients that ask on and on over one connection and are never sent away. What they have
+    // sent and was not read is theirs to send again.
+    if (monotonicNow() - owner_.sentAwayAt() >= kSentAway) return closeGracefully();
+  }
+  useless_requests_ > 1 ? throttle() : goOn();
+}
+
+void RespSession::throttle() {
+  enter(Phase::throttled);
+  const Micros pause = std::min(kMostThrottle, kThrottle << (useless_requests_ - 2));
+  throttle_timer_.expires_after(std::chrono::microseconds(pause));
+  throttle_timer_.async_wait([self = shared_from_this()](error_code stopped) {
+    if (!stopped && self->open_ && self->phase_ == Phase::throttled) self->goOn();
+  });
+}
+
+void RespSession::goOn() {
+  enter(Phase::idle);
+  in_.empty() ? waitToRead() : parse();
+}
+
+bool RespSession::nothingCame() const {
+  error_code error;
+  return socket_.available(error) == 0 && !error;
+}
+
+void RespSession::closeGracefully() {
+  if (!open_ || phase_ == Phase::closing) return;
+  throttle_timer_.cancel();
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  in_.clear();
+  enter(Phase::closing);
+  waitToRead();
+}
+
+void RespSession::closeIfIdle() {
+  if (phase_ == Phase::idle && nothingCame()) closeGracefully();
+}
+
+void RespSession::finish() {
+  if (phase_ == Phase::writing) last_reply_ = true;
+  else closeGracefully();
+}
+
+void RespSession::close() {
+  if (!open_) return;
+  abandon();
+  owner_.closed(shared_from_this());
+}
+
+void RespSession::abandon() {
+  open_ = false;
+  throttle_timer_.cancel();
+  closeDrained(socket_);
+}
+
+void RespSession::checkLimit(Micros now) {
+  if (!open_) return;
+  const Micros spent = now - since_;
+  switch (phase_) {
+    case Phase::idle:
+      return checkIdle(now);
+    case Phase::partial:
+      return checkPartial(now);
+    case Phase::writing:
+      if (spent >= kWriteLimit) close();
+      return;
+    case Phase::closing:
+      if (spent >= kClosingLimit) close();
+      return;
+    case Phase::waiting:
+      return checkOutcome(now);
+    case Phase::asked:
+    case Phase::throttled:
+      return;
+  }
+}
+
+void RespSession::checkIdle(Micros now) {
+  if (owner_.sendsAway() && now >= std::max(since_, owner_.sentAwayAt()) + momentOf(client_.id))
+    return closeIfIdle();
+  const bool has_asked = useful_ || useless_requests_ > 0;
+  const Micros limit = !has_asked ? kFirstByteLimit : owner_.crowded() ? kMayClose : kKeepAlive;
+  if (now - since_ >= limit) closeIfIdle();
+}
+
+void RespSession::checkPartial(Micros now) {
+  const bool sent_away_long = owner_.sendsAway() && now - owner_.sentAwayAt() >= kLastRequestLimit;
+  if (now - since_ < kRequestLimit && !sent_away_long) return;
+  socket_.cancel();
+  last_reply_ = true;
+  answer("-ERR the request did not come to its end\r\n");
+}
+
+RespSession::Rank RespSession::rank(Micros now) const {
+  const Micros spent = now - since_;
+  if (phase_ == Phase::asked || phase_ == Phase::writing) return {kInUse + 1, since_};
+  if (phase_ == Phase::waiting) return {kInUse - 1, since_};  // closed, it may ask again: nothing is lost
+  if (phase_ == Phase::partial && proven_) return {kInUse, since_};
+  // A newcomer's first request is on its way: closed now, it would have failed.
+  const bool useless = phase_ == Phase::closing || phase_ == Phase::throttled;
+  if (useless || !proven_) return {spent >= kNewcomer ? !useless : 4, since_};
+  return {spent >= kMayClose ? 2 : 3, since_};
+}
+
+}  // namespace grademux
--- a/src/handover/inherited_calls.h
+++ b/src/handover/inherited_calls.h
@@ -1,20 +1,20 @@
-// grademux: calls that an earlier process of this sender has out still, beside those of the carrier: each
+// grademux: calls that an earlier process of this sender has out still, beside those of the transport: each
 // ends by what that process reports, or by its end, which says nothing of whether the call ran.
 #pragma once
 
 #include <functional>
 #include <set>
 
-#include "../carriers/carrier.h"
+#include "../core/transport.h"
 #include "messages.h"
 
 namespace grademux::handover {
 
-class InheritedCalls : public Carrier {
+class InheritedCalls : public Transport {
  public:
   using Say = std::function<void(const Message&)>;  // to the earlier process
-  InheritedCalls(Carrier& carrier, OnOutcome on_outcome, Say say)
-      : carrier_(carrier), on_outcome_(std::move(on_outcome)), say_(std::move(say)) {}
+  InheritedCalls(Transport& transport, OnOutcome on_outcome, Say say)
+      : transport_(transport), on_outcome_(std::move(on_outcome)), say_(std::move(say)) {}
 
   void inherit(const std::vector<CallId>& calls) { out_.insert(calls.begin(), calls.end()); }
   const std::set<CallId>& inherited() const { return out_; }
@@ -38,21 +38,21 @@
   }
 
   void address(const std::string& endpoint, const std::string& address) override {
-    carrier_.address(endpoint, address);
+    transport_.address(endpoint, address);
   }
-  void forget(const std::string& endpoint) override { carrier_.forget(endpoint); }
+  void forget(const std::string& endpoint) override { transport_.forget(endpoint); }
   // Not those of the earlier process: it alone knows which of them are written.
-  void withhold(const std::string& endpoint) override { carrier_.withhold(endpoint); }
-  void call(const CallRequest& request) override { carrier_.call(request); }
+  void withhold(const std::string& endpoint) override { transport_.withhold(endpoint); }
+  void call(const CallRequest& request) override { transport_.call(request); }
   void cancel(const std::string& id, int attempt) override {
     if (out_.count({id, attempt})) say_(CancelCall{{id, attempt}});
-    else carrier_.cancel(id, attempt);
+    else transport_.cancel(id, attempt);
   }
-  void closeIdle(const std::string& endpoint) override { carrier_.closeIdle(endpoint); }
-  std::size_t out() const override { return carrier_.out() + out_.size(); }
+  void closeIdle(const std::string& endpoint) override { transport_.closeIdle(endpoint); }
+  std::size_t out() const override { return transport_.out() + out_.size(); }
 
  private:
-  Carrier& carrier_;
+  Transport& transport_;
   OnOutcome on_outcome_;
   Say say_;
   std::set<CallId> out_;
--- a/src/membership/name_memory.h
+++ b/src/membership/name_memory.h
@@ -7,6 +7,7 @@
 // last serves on.
 #pragma once
 
+#include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/network_v4.hpp>
 #include <boost/asio/ip/network_v6.hpp>
 #include <map>
--- a/src/net/dns_client.cpp
+++ b/src/net/dns_client.cpp
@@ -64,7 +64,7 @@
   const auto at = [&](const unsigned char* p, std::size_t n) {
     return static_cast<std::size_t>(p - bytes) + n <= static_cast<std::size_t>(size);
   };
-  const auto skipName = [&](const unsigned char*& p) {
+  const auto skip_name = [&](const unsigned char*& p) {
     char* name = nullptr;
     long used = 0;
     if (ares_expand_name(p, bytes, size, &name, &used) != ARES_SUCCESS) return false;
@@ -77,12 +77,12 @@
   const unsigned questions = word(bytes + 4), answers = word(bytes + 6);
   const unsigned char* p = bytes + kHeader;
   for (unsigned i = 0; i < questions; ++i) {
-    if (!skipName(p) || !at(p, 4)) return 0;
+    if (!skip_name(p) || !at(p, 4)) return 0;
     p += 4;
   }
   Micros least = INT64_MAX;
   for (unsigned i = 0; i < answers; ++i) {
-    if (!skipName(p) || !at(p, 10)) return 0;
+    if (!skip_name(p) || !at(p, 10)) return 0;
     const std::uint32_t ttl = word(p + 4) << 16 | word(p + 6);
     least = std::min<Micros>(least, ttl > INT32_MAX ? 0 : ttl * 1'000'000LL);  // RFC 2181, 8
     const unsigned length = word(p + 8);
--- a/src/operate/state.h
+++ b/src/operate/state.h
@@ -11,7 +11,7 @@
 enum class Phase {
   starting,  // the journal is read, or an earlier process still owns it
   serving,
-  standby,  // clients are sent away, and those that come are still served
+  standby,   // clients are sent away, and those that come are still served
   shut_out,  // by the fleet's plan: clients are sent away, and what comes is refused
   stopping   // for good: by SIGTERM, or since another process has taken over
 };
--- a/src/carriers/http/http_carrier.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -1,5 +1,5 @@
-// grademux: calls to endpoints; see http_carrier.h.
-#include "http_carrier.h"
+// grademux: calls to endpoints; see http_transport.h.
+#include "http_transport.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -27,27 +27,27 @@
 
 }  // namespace
 
-HttpCarrier::HttpCarrier(asio::io_context& io, Limits limits, OnOutcome on_outcome)
+HttpTransport::HttpTransport(asio::io_context& io, Limits limits, OnOutcome on_outcome)
     : io_(io), limits_(limits), on_outcome_(std::move(on_outcome)), sweeper_(io) {}
 
-void HttpCarrier::address(const std::string& endpoint, const std::string& address) {
+void HttpTransport::address(const std::string& endpoint, const std::string& address) {
   std::string& known = addresses_[endpoint];
   if (known == address) return;
   known = address;
   closeIdle(endpoint);
 }
 
-void HttpCarrier::forget(const std::string& endpoint) {
+void HttpTransport::forget(const std::string& endpoint) {
   closeIdle(endpoint);
   addresses_.erase(endpoint);
 }
 
-void HttpCarrier::withhold(const std::string& endpoint) {
+void HttpTransport::withhold(const std::string& endpoint) {
   withholdUnwritten([&](const Call& call) { return call.endpoint == endpoint; });
 }
 
 // The freshest that is still good; null: there is none.
-std::unique_ptr<HttpConnection> HttpCarrier::takeIdle(const std::string& endpoint) {
+std::unique_ptr<HttpConnection> HttpTransport::takeIdle(const std::string& endpoint) {
   const auto pool = idle_.find(endpoint);
   if (pool == idle_.end()) return nullptr;
   auto& idle = pool->second;
@@ -60,7 +60,7 @@
   return nullptr;
 }
 
-HttpRequest HttpCarrier::requestOf(const CallRequest& request) {
+HttpRequest HttpTransport::requestOf(const CallRequest& request) {
   const TakenOn& message = request.message;
   HttpRequest http;
   http.method = "POST";
@@ -75,7 +75,7 @@
   return http;
 }
 
-void HttpCarrier::call(const CallRequest& request) {
+void HttpTransport::call(const CallRequest& request) {
   const CallId id{request.message.id, request.attempt};
   Call call;
   call.endpoint = request.endpoint;
@@ -100,7 +100,7 @@
 
 // Guards against a connection that comes up late, or a slow receiver, by which a call goes out after what it
 // was decided by has changed. What is written can't be taken back and runs on.
-void HttpCarrier::withholdUnwritten(const std::function<bool(const Call&)>& concerned) {
+void HttpTransport::withholdUnwritten(const std::function<bool(const Call&)>& concerned) {
   std::vector<CallId> unwritten;
   for (const auto& [id, call] : calls_)
     if (!call.connection->written() && concerned(call)) unwritten.push_back(id);
@@ -114,7 +114,7 @@
   }
 }
 
-Outcome HttpCarrier::outcomeOf(const CallId& id, const Call& call, const HttpAnswer& answer) const {
+Outcome HttpTransport::outcomeOf(const CallId& id, const Call& call, const HttpAnswer& answer) const {
   constexpr int kDelivered = 200, kOver = 410;
   const Micros now = monotonicNow();
   Outcome outcome;
@@ -133,13 +133,13 @@
 }
 
 // `endpoint` has told to wait for so long, or not (0).
-void HttpCarrier::heedWait(const std::string& endpoint, Micros wait) {
+void HttpTransport::heedWait(const std::string& endpoint, Micros wait) {
   if (wait == 0 || !scope_of_) return;
   const std::string scope = scope_of_(endpoint);
   withholdUnwritten([&](const Call& other) { return scope_of_(other.endpoint) == scope; });
 }
 
-Outcome HttpCarrier::settle(const CallId& id, Call& call, const HttpAnswer& answer) {
+Outcome HttpTransport::settle(const CallId& id, Call& call, const HttpAnswer& answer) {
   Outcome outcome = outcomeOf(id, call, answer);
   // The module keeps its own count of idle connections: one is kept after the same outcomes as there.
   const bool kept =
@@ -148,7 +148,7 @@
   return outcome;
 }
 
-void HttpCarrier::over(const CallId& id, const HttpAnswer& answer) {
+void HttpTransport::over(const CallId& id, const HttpAnswer& answer) {
   const auto known = calls_.find(id);
   if (known == calls_.end()) return;
   Call call = std::move(known->second);
@@ -159,7 +159,7 @@
   on_outcome_(std::move(outcome));
 }
 
-void HttpCarrier::reportLater(Outcome outcome) {
+void HttpTransport::reportLater(Outcome outcome) {
   reporting_.insert({outcome.id, outcome.attempt});
   asio::post(io_, [this, outcome = std::move(outcome)]() mutable {
     reporting_.erase({outcome.id, outcome.attempt});
@@ -168,7 +168,7 @@
 }
 
 // An answer that has come and was not read yet goes before: it may have been delivered, or tell to wait.
-void HttpCarrier::cancel(const std::string& id, int attempt) {
+void HttpTransport::cancel(const std::string& id, int attempt) {
   const CallId call_id{id, attempt};
   const auto known = calls_.find(call_id);
   if (known == calls_.end()) return;
@@ -183,25 +183,25 @@
   heedWait(call.endpoint, wait);
 }
 
-std::vector<CallId> HttpCarrier::outCalls() const {
+std::vector<CallId> HttpTransport::outCalls() const {
   std::vector<CallId> all(reporting_.begin(), reporting_.end());
   for (const auto& [id, call] : calls_) all.push_back(id);
   return all;
 }
 
-void HttpCarrier::closeAllIdle() {
+void HttpTransport::closeAllIdle() {
   idle_.clear();
   idle_count_ = 0;
 }
 
-void HttpCarrier::closeIdle(const std::string& endpoint) {
+void HttpTransport::closeIdle(const std::string& endpoint) {
   auto it = idle_.find(endpoint);
   if (it == idle_.end()) return;
   idle_count_ -= it->second.size();
   idle_.erase(it);
 }
 
-void HttpCarrier::keep(Call& call) {
+void HttpTransport::keep(Call& call) {
   const auto listed = addresses_.find(call.endpoint);
   if (listed == addresses_.end() || call.address != listed->second || !call.connection->reusable()) return;
   if (idle_count_ >= limits_.max_idle) return;
@@ -211,7 +211,7 @@
 }
 
 // Closes what has idled almost as long as an endpoint allows. Guards against a call that crosses the close.
-void HttpCarrier::sweep() {
+void HttpTransport::sweep() {
   if (sweeping_ || limits_.conn_idle <= 0) return;
   const Micros most = limits_.conn_idle - limits_.conn_idle / 20;
   Micros next = 0;
--- a/src/carriers/http/http_carrier.h
+++ b/src/transport/http/http_transport.h
@@ -11,18 +11,18 @@
 #include <utility>
 #include <vector>
 
+#include "../../core/transport.h"
 #include "../../net/http_connection.h"
-#include "../carrier.h"
 
 namespace grademux {
 
-class HttpCarrier : public Carrier {
+class HttpTransport : public Transport {
  public:
   struct Limits {
     Micros dial_timeout = 0, conn_idle = 0;
     std::size_t max_idle = 1;
   };
-  HttpCarrier(boost::asio::io_context& io, Limits limits, OnOutcome on_outcome);
+  HttpTransport(boost::asio::io_context& io, Limits limits, OnOutcome on_outcome);
 
   void address(const std::string& endpoint, const std::string& address) override;
   void forget(const std::string& endpoint) override;
--- a/tests/core/host_test.cpp
+++ b/tests/core/host_test.cpp
@@ -11,7 +11,7 @@
 namespace grademux {
 namespace {
 
-struct NoCalls : Carrier {
+struct NoCalls : Transport {
   void address(const std::string&, const std::string&) override {}
   void forget(const std::string&) override {}
   void withhold(const std::string& endpoint) override { withheld.push_back(endpoint); }
@@ -26,7 +26,7 @@
   Core()
       : journal(folder.path(), 3'000'000),
         notices(Agent(io, {}, "none"), [](const std::string&) {}),
-        host(io, makeSettings(), 1, journal, carrier, notices) {
+        host(io, makeSettings(), 1, journal, transport, notices) {
     host.list(readList(json{{"index", 1},
                             {"snapshot", true},
                             {"endpoints", json::array({loopback::listed("e1", "127.0.0.1:1", 7)})}}));
@@ -53,7 +53,7 @@
   boost::asio::io_context io;
   Journal journal;
   Notices notices;
-  NoCalls carrier;
+  NoCalls transport;
   Host host;
   std::deque<std::vector<Answer>> answers;
 };
@@ -72,7 +72,7 @@
   ASSERT_EQ(1u, first.size());
   ASSERT_EQ(1u, second.size());
   EXPECT_EQ(Answer::Kind::accepted, second[0].kind);
-  EXPECT_EQ(1u, c.carrier.called.size());
+  EXPECT_EQ(1u, c.transport.called.size());
   EXPECT_EQ(Status::State::open, c.host.status("a").state);
 }
 
@@ -81,7 +81,7 @@
   Core c;
   c.submit("a");
   c.run();
-  ASSERT_EQ(1u, c.carrier.called.size());
+  ASSERT_EQ(1u, c.transport.called.size());
   std::vector<End> ends;
   c.host.whenEnded("a", [&](const End& e) { ends.push_back(e); });
   Outcome o;
@@ -104,7 +104,7 @@
 // destination. Nobody asks the module in between.
 TEST(Host, CallsThatAreNotWrittenAreWithheldWhereTheListChanges) {
   Core c;
-  c.carrier.withheld.clear();
+  c.transport.withheld.clear();
   const auto listed = [&](const std::string& status, int group) {
     return json{{"index", 2},
                 {"snapshot", false},
@@ -112,13 +112,13 @@
                                            loopback::listed("e2", "127.0.0.1:2", 8)})}};
   };
   c.host.list(readList(listed("Ready", 7)));
-  EXPECT_EQ(std::vector<std::string>{"e2"}, c.carrier.withheld);  // the other is as it was
+  EXPECT_EQ(std::vector<std::string>{"e2"}, c.transport.withheld);  // the other is as it was
   c.run();
   c.host.list(readList(listed("Terminating", 7)));
-  EXPECT_EQ((std::vector<std::string>{"e2", "e1"}), c.carrier.withheld);
+  EXPECT_EQ((std::vector<std::string>{"e2", "e1"}), c.transport.withheld);
   c.run();
   c.host.list(readList(listed("Ready", 9)));
-  EXPECT_EQ((std::vector<std::string>{"e2", "e1", "e1"}), c.carrier.withheld);
+  EXPECT_EQ((std::vector<std::string>{"e2", "e1", "e1"}), c.transport.withheld);
 }
 
 // One wait binds all endpoints of a destination, or one alone where its kind has routes apart.
@@ -272,20 +272,20 @@
   c.host.bind(&right);
   c.submit("a");
   c.run();
-  ASSERT_EQ(1u, c.carrier.called.size());
+  ASSERT_EQ(1u, c.transport.called.size());
   EXPECT_EQ(Journal::look(c.folder.path(), "a").attempts.at(0).version, 1u);
   const auto& late = c.submit("b");
   right.may = false;
   c.run();
   ASSERT_EQ(1u, late.size());
   EXPECT_EQ(Answer::Kind::refused, late[0].kind);
-  EXPECT_EQ(1u, c.carrier.called.size());
+  EXPECT_EQ(1u, c.transport.called.size());
   EXPECT_FALSE(Journal::look(c.folder.path(), "b").known);  // a restart would take it on
   const auto& again = c.submit("b");                        // harmless: it may come again
   right.may = true;
   c.run();
   EXPECT_EQ(Answer::Kind::accepted, again.at(0).kind);
-  EXPECT_EQ(2u, c.carrier.called.size());
+  EXPECT_EQ(2u, c.transport.called.size());
 }
 
 // Risk: what is held is forgotten or called while the host is closed, or is not once it is open again.
@@ -299,12 +299,12 @@
   c.host.close();
   c.host.outcome(o);
   c.run();
-  EXPECT_EQ(1u, c.carrier.called.size());  // its next try waits
+  EXPECT_EQ(1u, c.transport.called.size());  // its next try waits
   EXPECT_EQ(Answer::Kind::refused, c.submit("b").at(0).kind);
   EXPECT_EQ(Status::State::open, c.host.status("a").state);
   c.host.open();
-  for (int i = 0; i < 200 && c.carrier.called.size() < 2; ++i) c.run();
-  EXPECT_EQ(2u, c.carrier.called.size());
+  for (int i = 0; i < 200 && c.transport.called.size() < 2; ++i) c.run();
+  EXPECT_EQ(2u, c.transport.called.size());
 }
 
 }  // namespace
--- a/tests/carriers/http_carrier_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -1,5 +1,5 @@
 // Calls over loopback sockets: each row of the protocol's table of outcomes, and the pool of connections.
-#include "../../src/carriers/http/http_carrier.h"
+#include "../../src/transport/http/http_transport.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -48,7 +48,7 @@
 
   boost::asio::io_context io;
   std::vector<Outcome> outcomes;
-  HttpCarrier endpoints;
+  HttpTransport endpoints;
 };
 
 Outcome outcomeOf(const Act& act, Micros timeout = 60'000'000) {
@@ -175,7 +175,7 @@
         Row{"half_a_head", {"HTTP/1.1 200", true}, Result::reset, false, 0}),
     [](const auto& i) { return std::string(i.param.name); });
 
-TEST(HttpCarrier, SilenceEndsInATimeOutAndClosesTheConnection) {
+TEST(HttpTransport, SilenceEndsInATimeOutAndClosesTheConnection) {
   Server s([](const Seen&) { return Act{}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -187,7 +187,7 @@
 
 // Risk: the loop was held up past a call's limit. The answer has come meanwhile, but the limit's end is first
 // in line: a payment that the partner took counts as one of which nothing is known.
-TEST(HttpCarrier, AnAnswerThatIsThereGoesBeforeALimitThatHasPassed) {
+TEST(HttpTransport, AnAnswerThatIsThereGoesBeforeALimitThatHasPassed) {
   loopback::Listener l;
   Pool p;
   p.endpoints.address("e", l.address());
@@ -218,7 +218,7 @@
   ::close(fd);
 }
 
-TEST(HttpCarrier, ARefusedConnectionNeverRan) {
+TEST(HttpTransport, ARefusedConnectionNeverRan) {
   Pool p;
   p.endpoints.address("e", loopback::closedAddress());
   EXPECT_EQ(Result::connect_failed, p.call("m").result);
@@ -227,7 +227,7 @@
 }
 
 // A call is written whole and once: id, key and body unchanged, and how long the sender will wait.
-TEST(HttpCarrier, ACallCarriesTheMessageUnchanged) {
+TEST(HttpTransport, ACallCarriesTheMessageUnchanged) {
   Server s([](const Seen&) { return Act{answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -245,7 +245,7 @@
 }
 
 // Risk: a report that can't be read is taken for zeros, which say that there is no limit.
-TEST(HttpCarrier, AReportThatCantBeReadIsNone) {
+TEST(HttpTransport, AReportThatCantBeReadIsNone) {
   for (const char* told : {"", "x0", "x0=,x1=", "x0=0.4", "x0=0.4,x1=25,", "x0=0.4,x1=2\x01", "x0=nan,x1=inf",
                            "x0=0.4;x1=25", "x0=0.4,x1=99999999999"}) {
     Server s([&](const Seen&) { return Act{answer("200 OK", std::string("X-Pressure: ") + told + "\r\n")}; });
@@ -256,7 +256,7 @@
 }
 
 // Risk: what comes behind a good answer is read as the answer to the next call on that connection.
-TEST(HttpCarrier, WhatComesBehindAnAnswerIsNotTheNextOne) {
+TEST(HttpTransport, WhatComesBehindAnAnswerIsNotTheNextOne) {
   std::atomic<int> calls{0};
   Server s([&](const Seen&) {
     return ++calls == 1 ? Act{answer("200 OK") + answer("200 OK")} : Act{answer("503 Full")};
@@ -269,7 +269,7 @@
 }
 
 // Risk: addresses and connections of endpoints that are gone are kept for good.
-TEST(HttpCarrier, WhatIsGoneIsForgotten) {
+TEST(HttpTransport, WhatIsGoneIsForgotten) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -280,7 +280,7 @@
   EXPECT_EQ(Result::connect_failed, p.call("b").result);
 }
 
-TEST(HttpCarrier, ConnectionsAreReusedAndClosedOnDemand) {
+TEST(HttpTransport, ConnectionsAreReusedAndClosedOnDemand) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -295,7 +295,7 @@
 
 // Guards against a request that is written to a connection the endpoint has closed: it would end as a reset,
 // and an unsafe message would be lost by it.
-TEST(HttpCarrier, AConnectionClosedByTheEndpointIsNotWrittenTo) {
+TEST(HttpTransport, AConnectionClosedByTheEndpointIsNotWrittenTo) {
   Server s([](const Seen&) { return Act{answer("200 OK"), true}; });  // closes, without saying so
   Pool p;
   p.endpoints.address("e", s.address());
@@ -308,7 +308,7 @@
 
 // What breaks on a kept connection before a byte of the answer came is told apart: it says nothing of the
 // endpoint.
-TEST(HttpCarrier, AKeptConnectionThatTurnsOutDeadIsTold) {
+TEST(HttpTransport, AKeptConnectionThatTurnsOutDeadIsTold) {
   std::atomic<int> calls{0};
   Server s([&](const Seen&) {
     const int n = ++calls;
@@ -328,7 +328,7 @@
   EXPECT_FALSE(o.stale);  // a fresh connection
 }
 
-TEST(HttpCarrier, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
+TEST(HttpTransport, AnIdleConnectionIsClosedBeforeTheEndpointWould) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p(100'000);
   p.endpoints.address("e", s.address());
@@ -342,7 +342,7 @@
   EXPECT_EQ(0u, p.endpoints.idle());
 }
 
-TEST(HttpCarrier, ACallIsCalledOffByClosingAndHasOneOutcome) {
+TEST(HttpTransport, ACallIsCalledOffByClosingAndHasOneOutcome) {
   Server s([](const Seen&) { return Act{}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -363,7 +363,7 @@
 }
 
 // Risk: a call that waited for its connection is written after the right to make it has ended.
-TEST(HttpCarrier, WhatMayNotGoWhenTheConnectionIsThereIsNotWritten) {
+TEST(HttpTransport, WhatMayNotGoWhenTheConnectionIsThereIsNotWritten) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p;
   p.endpoints.address("e", s.address());
@@ -428,7 +428,7 @@
 };
 
 // Risk: a connection comes up late, and what is written on it breaks a wait that was told meanwhile.
-TEST(HttpCarrier, ACallThatWaitedForItsConnectionHeedsAWaitThatWasToldMeanwhile) {
+TEST(HttpTransport, ACallThatWaitedForItsConnectionHeedsAWaitThatWasToldMeanwhile) {
   for (const bool told : {true, false}) {
     LateListener late;
     Server s([&](const Seen&) {
@@ -448,7 +448,7 @@
 }
 
 // Risk: an endpoint drains or moves while a connection to it comes up, and gets a new call after the grace.
-TEST(HttpCarrier, ACallThatWaitedForItsConnectionIsNotMadeWhereTheListHasChanged) {
+TEST(HttpTransport, ACallThatWaitedForItsConnectionIsNotMadeWhereTheListHasChanged) {
   LateListener late;
   Pool p;
   p.endpoints.address("late", late.address());
@@ -464,13 +464,13 @@
 }
 
 // Risk: a repeat goes out when its destination has forgotten the key: a second effect.
-TEST(HttpCarrier, ARepeatIsNotMadeOnAConnectionThatComesUpTooLateForIt) {
+TEST(HttpTransport, ARepeatIsNotMadeOnAConnectionThatComesUpTooLateForIt) {
   LateListener late;
   Pool p;
   p.endpoints.address("late", late.address());
   p.endpoints.call({p.message("m"), 0, "late", 60'000'000, 300'000});
+  late.admit();  // its connection would be there after 1 s
   EXPECT_EQ(Result::not_sent, p.waitFor(1).result);
-  late.admit();
   late.finish();
   EXPECT_EQ(0, late.got);
 }
@@ -479,19 +479,24 @@
 struct ByHand {
   int accept() {
     pollfd ready{listener.fd, POLLIN, 0};
-    EXPECT_GT(::poll(&ready, 1, 60'000), 0);
+    constexpr int kLongMs = 20'000;
+    if (::poll(&ready, 1, kLongMs) <= 0) {
+      ADD_FAILURE() << "no connection came";
+      return -1;
+    }
     return ::accept4(listener.fd, nullptr, nullptr, SOCK_CLOEXEC);
   }
-  // Runs the carrier until the request has come whole.
+  // Runs the transport until the request has come whole.
   static void readRequest(Pool& p, int fd) {
     std::string in;
-    while (in.find("any") == std::string::npos) {  // its body
+    EXPECT_TRUE(loopback::eventually([&] {
       p.io.restart();
       p.io.poll();
       char piece[4096];
       const ssize_t n = ::recv(fd, piece, sizeof piece, MSG_DONTWAIT);
       if (n > 0) in.append(piece, static_cast<std::size_t>(n));
-    }
+      return in.find("any") != std::string::npos;  // its body
+    }));
   }
   static void send(int fd, const std::string& bytes) {
     EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
@@ -501,7 +506,7 @@
 
 // Risk: a call is called off while its answer lies unread in the socket: a wait is broken, or a delivery is
 // not known of.
-TEST(HttpCarrier, WhatHasComeCountsWhenACallIsCalledOff) {
+TEST(HttpTransport, WhatHasComeCountsWhenACallIsCalledOff) {
   const struct {
     std::string bytes;
     Result result;
@@ -535,7 +540,7 @@
 
 // Risk: the time limit on connecting and the connection come in one step of the loop. The request is written,
 // and then the limit, whose handler can't be cancelled any more, says that it never was: a second effect.
-TEST(HttpCarrier, ALimitThatIsDueWithTheConnectionDoesNotDenyARequestThatWasWritten) {
+TEST(HttpTransport, ALimitThatIsDueWithTheConnectionDoesNotDenyARequestThatWasWritten) {
   Server s([](const Seen&) { return Act{answer("200 OK")}; });
   Pool p(60'000'000, 50'000);
   p.endpoints.address("e", s.address());
@@ -547,7 +552,7 @@
 
 // Risk: an endpoint closes a kept connection, or sends half a line on it, just after it was chosen for a
 // call: the call would end in the unknown.
-TEST(HttpCarrier, AKeptConnectionIsLookedAtAgainRightBeforeTheFirstByte) {
+TEST(HttpTransport, AKeptConnectionIsLookedAtAgainRightBeforeTheFirstByte) {
   for (const bool half_a_line : {false, true}) {
     ByHand server;
     Pool p;
@@ -565,6 +570,7 @@
     p.io.restart();
     p.io.poll();
     const int second = server.accept();
+    ASSERT_GE(second, 0);
     ByHand::readRequest(p, second);
     ByHand::send(second, answer("200 OK"));
     EXPECT_EQ(Result::ok, p.waitFor(2).result);
@@ -577,7 +583,7 @@
 
 // Risk: a request that goes out in several writes has its last byte after a wait was told, or after its
 // endpoint drained. An endpoint begins a call at its last byte.
-TEST(HttpCarrier, ARequestThatIsHalfWrittenIsNotFinishedIntoAWait) {
+TEST(HttpTransport, ARequestThatIsHalfWrittenIsNotFinishedIntoAWait) {
   ByHand slow;
   Server s([](const Seen&) { return Act{answer("429 Slow", "Retry-After: 30\r\n")}; });
   Pool p;
