Host: a right that shows an endpoint otherwise does not withhold calls it has let begin

Change: withholding follows the list alone; the right is asked before the first byte of each call, as before. Policy and platform code paths are as they were.

--- a/src/core/host.cpp
+++ b/src/core/host.cpp
@@ -346,7 +346,6 @@
     if (const ListedEndpoint* e = list_.find(id)) {
       u.endpoints.push_back(e->endpoint);
       u.endpoints.back().state = shown(e->endpoint);
-      if (u.endpoints.back().state != EndpointState::ready) transport_.withhold(id);
     }
   if (!u.endpoints.empty()) add(std::move(u));
 }
