--- a/tests/doors/http_door_test.cpp
+++ b/tests/doors/http_door_test.cpp
@@ -36,6 +36,18 @@
   EXPECT_TRUE(f.waitForState("c", "given_up"));
 }
 
+// Risk: a request crosses the end of its connection; a close over it resets the connection and takes an
+// answer along that the client has not read. A connection that was closed so takes no second byte.
+TEST(HttpDoor, AnIdleConnectionIsEndedInOrderWhenTheProcessStops) {
+  HttpFleet f(deliver);
+  HttpClient idle(f.http);
+  EXPECT_EQ(202, idle.ask("PUT", "/v1/messages/a", "", messageDocument("notice", 7)).status);
+  f.program.signal(SIGTERM);
+  EXPECT_EQ(0, idle.reply().status);
+  EXPECT_TRUE(idle.send("P"));
+  EXPECT_TRUE(idle.send("U"));
+}
+
 TEST(HttpDoor, WhatCantBeUsedIsAProblemAndTheConnectionLivesOn) {
   HttpFleet f(deliver);
   HttpClient c(f.http);
