--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -498,6 +498,15 @@
       return in.find("any") != std::string::npos;  // its body
     }));
   }
+  // Makes the first call to endpoint "e", which is this one, and reads its request; gives the connection.
+  int takeFirstCall(Pool& p, const std::string& id) {
+    p.endpoints.address("e", listener.address());
+    p.endpoints.call({p.message(id), 0, "e", 60'000'000});
+    p.io.poll();
+    const int fd = accept();
+    readRequest(p, fd);
+    return fd;
+  }
   static void send(int fd, const std::string& bytes) {
     EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
   }
@@ -523,11 +532,7 @@
   for (const auto& row : rows) {
     ByHand server;
     Pool p;
-    p.endpoints.address("e", server.listener.address());
-    p.endpoints.call({p.message("m"), 0, "e", 60'000'000});
-    p.io.poll();
-    const int fd = server.accept();
-    ByHand::readRequest(p, fd);
+    const int fd = server.takeFirstCall(p, "m");
     ByHand::send(fd, row.bytes);  // on loopback it has come when this returns
     p.endpoints.cancel("m", 0);
     const Outcome o = p.waitFor(1);
@@ -556,11 +561,7 @@
   for (const bool half_a_line : {false, true}) {
     ByHand server;
     Pool p;
-    p.endpoints.address("e", server.listener.address());
-    p.endpoints.call({p.message("a"), 0, "e", 60'000'000});
-    p.io.poll();
-    const int first = server.accept();
-    ByHand::readRequest(p, first);
+    const int first = server.takeFirstCall(p, "a");
     ByHand::send(first, answer("200 OK"));
     EXPECT_EQ(Result::ok, p.waitFor(1).result);
     ASSERT_EQ(1u, p.endpoints.idle());
