--- a/review/build.sh
+++ b/review/build.sh
@@ -1,11 +1,10 @@
 #!/bin/sh
-# Builds the stand-ins of all cases into review/build. Needs g++ and the header nlohmann/json.hpp
+# Builds the stand-ins of each case into review/N/build. Needs g++ and the header nlohmann/json.hpp
 # (nlohmann-json3-dev, which deploy/packages.txt names).
 set -eu
 here=$(cd "$(dirname "$0")" && pwd)
-mkdir -p "$here/build"
-for source in "$here"/[1-3]/case.cpp; do
-  [ -f "$source" ] || continue
-  number=$(basename "$(dirname "$source")")
-  ${CXX:-g++} -std=c++17 -O1 -Wall -Wextra -I "$here/rig" "$source" -o "$here/build/case$number" -pthread
+for folder in "$here"/[1-3]; do
+  [ -f "$folder/case.cpp" ] || continue
+  mkdir -p "$folder/build"
+  ${CXX:-g++} -std=c++17 -O1 -Wall -Wextra -I "$here" "$folder/case.cpp" -o "$folder/build/case" -pthread
 done
