Log: how the HTTP exchange of an attempt ended, its status line and connection reuse

New fields at debug: exchange, status_line (as received), reused, idle_us, first_byte_us. No behaviour changes.

--- a/src/log/events.h
+++ b/src/log/events.h
@@ -159,8 +159,13 @@
      "a DNS response contains an address that `allow` excludes"},
     {Event::membership_stale, "membership.stale", Level::warning, "partner endpoints",
      "the endpoint list of an earlier process is in use, marked as stale, until the source responds"},
-    {Event::attempt_finished, "attempt.finished", Level::debug, "message endpoint attempt outcome",
-     "an attempt finished"},
+    {Event::attempt_finished, "attempt.finished", Level::debug,
+     "message endpoint attempt outcome exchange status_line reused idle_us first_byte_us",
+     "an attempt finished; the fields after outcome describe the HTTP exchange: how it ended, the status "
+     "line "
+     "as it was received, whether the connection was reused (1) after how long an idle time, and the time "
+     "from "
+     "the last byte written to the first byte received (-1: none)"},
     {Event::message_finished, "message.finished", Level::debug, "message outcome attempts",
      "a message reached its final outcome"},
     {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
--- a/src/net/answer_reader.cpp
+++ b/src/net/answer_reader.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 constexpr std::size_t kHeaderLimit = 16384;  // bytes
-constexpr std::size_t kFirstLineLimit = 64;  // bytes in which the status is searched
 constexpr int kMaxInterimResponses = 16;     // 1xx responses before the final response
 constexpr int kMaxIdleSteps = 3;  // parser calls in a row that consume nothing; then it needs more bytes
 }  // namespace
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -14,6 +14,7 @@
 class AnswerReader {
  public:
   enum class State { partial, complete, malformed };
+  static constexpr std::size_t kFirstLineLimit = 64;  // bytes of the status line that are kept
   using Head = boost::beast::http::response<boost::beast::http::string_body>;
 
   // `body_limit` is in bytes; a response with a longer body is malformed.
@@ -26,6 +27,9 @@
 
   // Whether the status line is well-formed and has status 200, regardless of the bytes after it.
   bool hasStatus200() const;
+  // The status line of the response that is read, without its end, at most kFirstLineLimit bytes. May be
+  // malformed or incomplete.
+  std::string statusLine() const { return first_line_.substr(0, first_line_.find_first_of("\r\n")); }
   // Whether the head of the final response (not 1xx) is complete.
   bool isHeadComplete() const;
   // Requires isHeadComplete().
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -60,6 +60,20 @@
 
 }  // namespace
 
+const char* nameOf(ExchangeResult result) {
+  switch (result) {
+    case ExchangeResult::answered:
+      return "answered";
+    case ExchangeResult::not_written:
+      return "not_written";
+    case ExchangeResult::broken:
+      return "broken";
+    case ExchangeResult::timed_out:
+      return "timed_out";
+  }
+  return "";
+}
+
 const std::string* HttpAnswer::field(const std::string& name) const {
   for (const auto& [known, value] : fields)
     if (known == name)
@@ -90,6 +104,8 @@
   bool open = false, written = false, response_started = false, keep = false, reused = false;
   bool retry_after_received = false;  // the complete head of a 429 has arrived
   TimePoint deadline, write_deadline;
+  TimePoint written_at, first_byte_at;  // of the current exchange, valid if `written`, `response_started`
+  TimePoint idle_since;                 // end of the previous exchange, valid if `reused`
 
   void begin(HttpRequest request, Micros connect_limit, Micros limit, Done then) {
     const TimePoint now = Clock::now();
@@ -140,10 +156,12 @@
     });
   }
 
-  static Micros remaining(TimePoint until) {
-    return std::chrono::duration_cast<std::chrono::microseconds>(until - Clock::now()).count();
+  static Micros microsBetween(TimePoint from, TimePoint until) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(until - from).count();
   }
 
+  static Micros remaining(TimePoint until) { return microsBetween(Clock::now(), until); }
+
   void setTimer(std::uint64_t exchange, Micros span) {
     timer.expires_after(std::chrono::microseconds(std::max<Micros>(0, span)));
     timer.async_wait([self = shared_from_this(), exchange, number = ++timer_number](error_code error) {
@@ -193,6 +211,7 @@
         return finish(ExchangeResult::not_written);
     }
     written = true;
+    written_at = Clock::now();
     out = {};
     setTimer(exchange, remaining(deadline));
     read(exchange);
@@ -230,6 +249,8 @@
         return true;
       }
       const bool first = !response_started;
+      if (first)
+        first_byte_at = Clock::now();
       response_started = true;
       in.append(buffer, size);
       const AnswerReader::State state = reader->parse(in);
@@ -267,6 +288,7 @@
     reader.reset();
     in.clear();
     out = {};
+    idle_since = Clock::now();
     if (!keep)
       close();
     Done then = std::move(done);
@@ -281,6 +303,11 @@
     answer.complete = complete;
     answer.response_started = response_started;
     answer.reused = reused;
+    answer.status_line = reader->statusLine();
+    if (written && reused)
+      answer.idle_time = microsBetween(idle_since, written_at);
+    if (written && response_started)
+      answer.first_byte_delay = microsBetween(written_at, first_byte_at);
     if (reader->isHeadComplete()) {
       answer.head_status = static_cast<int>(reader->head().result_int());
       for (const auto& field : reader->head())
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -40,6 +40,9 @@
   timed_out  // the response did not start in time
 };
 
+// The name of the result, as it appears in the log.
+const char* nameOf(ExchangeResult result);
+
 struct HttpAnswer {
   ExchangeResult how = ExchangeResult::not_written;
   int status = 0;                 // of a response that can be trusted
@@ -47,7 +50,11 @@
   // The response is complete and well-formed. If false on `answered`, only the status line with 200 is valid.
   bool complete = false;
   bool reused = false;  // the request used the connection of an earlier exchange
-  int head_status = 0;  // of a complete head, also if the body is truncated; 0: no complete head
+  // How long the reused connection had been idle when the last byte of the request was written, and how long
+  // after that the first byte of the response arrived, in microseconds; -1: neither happened.
+  Micros idle_time = -1, first_byte_delay = -1;
+  std::string status_line;  // as received, also if malformed; at most AnswerReader::kFirstLineLimit bytes
+  int head_status = 0;      // of a complete head, also if the body is truncated; 0: no complete head
   std::vector<std::pair<std::string, std::string>> fields;  // of that head, with names in lower case
   std::string body;                                         // of a complete response
   // The value of a field, whose name is given in lower case; null if the head has no such field.
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -18,13 +18,19 @@
 
 constexpr std::size_t kMaxResponseBodyBytes = 65536;
 
-void logAttemptFinished(const AttemptId& id, const std::string& endpoint, AttemptResult result) {
+void logAttemptFinished(const AttemptId& id, const std::string& endpoint, AttemptResult result,
+                        const HttpAnswer& answer) {
   if (!log::isEnabled(log::Event::attempt_finished))
     return;
   log::write(log::Event::attempt_finished, {{"message", id.message_id},
                                             {"endpoint", endpoint},
                                             {"attempt", id.attempt},
-                                            {"outcome", nameOf(result)}});
+                                            {"outcome", nameOf(result)},
+                                            {"exchange", nameOf(answer.how)},
+                                            {"status_line", answer.status_line},
+                                            {"reused", answer.reused},
+                                            {"idle_us", answer.idle_time},
+                                            {"first_byte_us", answer.first_byte_delay}});
 }
 
 }  // namespace
@@ -119,7 +125,7 @@
     const auto attempt = attempts_.find(id);
     AttemptOutcome outcome = outcomeOf(id, attempt->second, {});
     outcome.result = AttemptResult::not_sent;
-    logAttemptFinished(id, attempt->second.endpoint, outcome.result);
+    logAttemptFinished(id, attempt->second.endpoint, outcome.result, {});
     attempts_.erase(attempt);  // closes the connection
     postOutcome(std::move(outcome));
   }
@@ -172,7 +178,7 @@
   Attempt attempt = std::move(known->second);
   attempts_.erase(known);
   AttemptOutcome outcome = finishAttempt(id, attempt, answer);
-  logAttemptFinished(id, attempt.endpoint, outcome.result);
+  logAttemptFinished(id, attempt.endpoint, outcome.result, answer);
   applyRetryAfter(attempt.endpoint, outcome.retry_after);
   on_outcome_(std::move(outcome));
 }
@@ -198,7 +204,7 @@
   AttemptOutcome outcome = finishAttempt(attempt_id, attempt, last);
   if (last.how != ExchangeResult::answered)
     outcome.result = AttemptResult::cancelled;
-  logAttemptFinished(attempt_id, attempt.endpoint, outcome.result);
+  logAttemptFinished(attempt_id, attempt.endpoint, outcome.result, last);
   const Micros retry_after = outcome.retry_after;
   postOutcome(std::move(outcome));  // before those of the attempts that applyRetryAfter() cancels
   applyRetryAfter(attempt.endpoint, retry_after);
