--- a/src/net/answer_reader.cpp
+++ b/src/net/answer_reader.cpp
@@ -20,6 +20,7 @@
 
 void AnswerReader::resetParser() {
   first_line_.clear();
+  is_first_line_consumed_ = false;
   parser_.emplace();
   // The parser is not eager: an eager parser (Beast of Boost 1.74) does not check Content-Length against the
   // body limit and allocates as much memory as the header declares.
@@ -30,10 +31,14 @@
 
 AnswerReader::State AnswerReader::parse(std::string& in) {
   for (int idle_steps = 0; !in.empty() && idle_steps < kMaxIdleSteps;) {
-    if (first_line_.size() < kFirstLineLimit)
-      first_line_.append(in, 0, kFirstLineLimit - first_line_.size());
+    // The parser consumes nothing of an incomplete status line: `in` then still begins with the bytes of the
+    // earlier pieces.
+    if (!is_first_line_consumed_)
+      first_line_.assign(in, 0, kFirstLineLimit);
     error_code error;
     const std::size_t used = parser_->put(boost::asio::buffer(in), error);
+    if (used > 0)
+      is_first_line_consumed_ = true;
     in.erase(0, used);
     if (error == http::error::need_more)
       return in.size() > kHeaderLimit ? State::malformed : State::partial;
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -42,7 +42,8 @@
 
   std::size_t body_limit_;
   int interim_responses_ = 0;
-  std::string first_line_;
+  std::string first_line_;  // the first bytes of the response; more than the line if the line is short
+  bool is_first_line_consumed_ = false;  // by the parser
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
 };
 
--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -588,6 +588,26 @@
   }
 }
 
+// Guards against an endpoint's 200 that arrives in two pieces on a malformed response: a delivered message
+// would be sent again, or reported as failed. The second piece is sent once the first has been read.
+TEST(HttpTransport, BelievesStatus200InTwoPiecesOfMalformedResponse) {
+  const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4x7\r\n\r\nok";
+  for (const std::size_t cut : {1u, 10u, 12u, 16u, 30u}) {
+    ManualServer server;
+    TransportFixture fixture;
+    const int fd = server.startFirstAttempt(fixture, "m");
+    ManualServer::send(fd, bytes.substr(0, cut));
+    fixture.io.restart();
+    fixture.io.poll();
+    EXPECT_TRUE(fixture.outcomes.empty()) << cut;
+    ManualServer::send(fd, bytes.substr(cut));
+    const AttemptOutcome outcome = fixture.waitFor(1);
+    EXPECT_EQ(AttemptResult::ok, outcome.result) << cut;
+    EXPECT_TRUE(outcome.already_finished) << cut;
+    ::close(fd);
+  }
+}
+
 // Guards against a connect time limit that expires in the same loop iteration as the connection is
 // established. The request is written, and then the handler of the limit, which can't be cancelled any more,
 // reports it as not written: a second effect.
