HTTP connection: an interim response does not start the final response's time limit

An endpoint that sends a 1xx and answers later than 400 ms was cut off: the attempt ended as broken, an idempotent message was called again beside the running call, a payment reported as failed.

Cause: the limit from a response's first byte to its last began with the interim response and was not ended by its last byte. Now the limit is that of the response being received; between two responses the exchange's own limit runs, and its end there is a time-out.

Test: HttpTransport.WaitsForFinalResponseAfterInterimResponseUntilAttemptLimit, seen to fail before (outcome reset at 400 ms).

--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -30,6 +30,9 @@
   // The status line of the response that is read, without its end, at most kFirstLineLimit bytes. May be
   // malformed or incomplete.
   std::string statusLine() const { return first_line_.substr(0, first_line_.find_first_of("\r\n")); }
+  // Whether a response has begun that is not complete. False between an interim response (1xx) and the next
+  // response.
+  bool isWithinResponse() const { return parser_->got_some(); }
   // Whether the head of the final response (not 1xx) is complete.
   bool isHeadComplete() const;
   // Requires isHeadComplete().
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -102,6 +102,7 @@
   // a handler that is already queued can't be cancelled.
   std::uint64_t exchange_number = 0, timer_number = 0;
   bool open = false, written = false, response_started = false, keep = false, reused = false;
+  bool within_response = false;       // a response has begun, other than a complete interim response
   bool retry_after_received = false;  // the complete head of a 429 has arrived
   TimePoint deadline, write_deadline;
   TimePoint written_at, first_byte_at;  // of the current exchange, valid if `written`, `response_started`
@@ -117,7 +118,7 @@
     sent = 0;
     reader.emplace(body_limit);
     done = std::move(then);
-    written = response_started = keep = retry_after_received = false;
+    written = response_started = within_response = keep = retry_after_received = false;
     reused = open;
     const std::uint64_t exchange = ++exchange_number;
     if (!open)
@@ -174,13 +175,13 @@
   void onTimeout(std::uint64_t exchange) {
     if (!written)
       return finish(ExchangeResult::not_written);
-    const bool had_response_started = response_started;
+    const bool was_within_response = within_response;
     // The response may have arrived in time if this process was late to read it.
     if (readAvailable(exchange))
       return;
-    if (response_started && !had_response_started)
+    if (within_response && !was_within_response)
       return setTimer(exchange, retry_after_received ? kRetryAfterResponseLimit : kResponseLimit);
-    response_started ? end(AnswerReader::State::malformed) : finish(ExchangeResult::timed_out);
+    within_response ? end(AnswerReader::State::malformed) : finish(ExchangeResult::timed_out);
   }
 
   // Whether the socket has nothing to read: neither unexpected bytes nor the end of the stream.
@@ -248,8 +249,7 @@
         end(error == asio::error::eof ? reader->parseEnd() : AnswerReader::State::malformed);
         return true;
       }
-      const bool first = !response_started;
-      if (first)
+      if (!response_started)
         first_byte_at = Clock::now();
       response_started = true;
       in.append(buffer, size);
@@ -259,20 +259,26 @@
         end(state);
         return true;
       }
-      setResponseTimer(exchange, first);
+      setResponseTimer(exchange);
     }
     return false;
   }
 
-  // Limits the time for the rest of a partial response; `first`: these were its first bytes.
-  void setResponseTimer(std::uint64_t exchange, bool first) {
+  // Limits the time for the rest of a partial response. Between an interim response and the final one, the
+  // limit is that of the exchange: the endpoint is still executing the request.
+  void setResponseTimer(std::uint64_t exchange) {
+    const bool has_begun = reader->isWithinResponse() && !within_response;
+    const bool was_interim = !reader->isWithinResponse() && within_response;
+    within_response = reader->isWithinResponse();
     const bool has_retry_after_head =
         reader->isHeadComplete() && reader->head().result_int() == kTooManyRequests;
     if (has_retry_after_head && !retry_after_received) {
       retry_after_received = true;
       setTimer(exchange, std::min(kRetryAfterResponseLimit, remaining(deadline)));
-    } else if (first) {
+    } else if (has_begun) {
       setTimer(exchange, std::min(kResponseLimit, remaining(deadline)));
+    } else if (was_interim) {
+      setTimer(exchange, remaining(deadline));
     }
   }
 
--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -608,6 +608,24 @@
   }
 }
 
+// Guards against taking the time between an interim response (RFC 9110, section 15.2) and the final one for
+// the time that a response takes to arrive: a slow endpoint's answer would be cut off, and the message sent
+// again or reported as failed.
+TEST(HttpTransport, WaitsForFinalResponseAfterInterimResponseUntilAttemptLimit) {
+  ManualServer server;
+  TransportFixture fixture;
+  const int fd = server.startFirstAttempt(fixture, "m");
+  ManualServer::send(fd, "HTTP/1.1 102 Processing\r\n\r\n");
+  constexpr auto kLongerThanResponseLimit = std::chrono::milliseconds(600);
+  fixture.io.restart();
+  fixture.io.run_for(kLongerThanResponseLimit);
+  EXPECT_TRUE(fixture.outcomes.empty());
+  if (fixture.outcomes.empty())
+    ManualServer::send(fd, answer("200 OK"));
+  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(1).result);
+  ::close(fd);
+}
+
 // Guards against a connect time limit that expires in the same loop iteration as the connection is
 // established. The request is written, and then the handler of the limit, which can't be cancelled any more,
 // reports it as not written: a second effect.
