HTTP connection: a cancelled exchange whose status line says 200 counts as answered

When an attempt was cancelled with the status line of a 200 in the socket and the rest not yet there, the message counted as not delivered: it could be called again, or ended by given_up.

Cause: abandon() asked only for a complete response. It now applies the rule of the other ends of an exchange: a status line with 200 confirms the delivery. Test: two rows of HttpTransport.EvaluatesArrivedBytesOnCancel, seen to fail before (cancelled in place of ok).

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -332,7 +332,7 @@
     if (!written)
       finish(ExchangeResult::not_written);
     else if (!readAvailable(exchange_number))
-      finish(ExchangeResult::timed_out);
+      finish(reader->hasStatus200() ? ExchangeResult::answered : ExchangeResult::timed_out);
     return last;
   }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -73,7 +73,8 @@
   // in microseconds.
   void exchange(HttpRequest request, Micros connect_limit, Micros limit, Done done);
   // Cancels the pending exchange and returns its result so far, without waiting. Its Done is not called. The
-  // result `answered` means that the response had already arrived. Requires a pending exchange.
+  // result `answered` means that the response, or a status line with 200, had already arrived. Requires a
+  // pending exchange.
   HttpAnswer abandon();
   // Whether the last byte of the current request has been passed to the kernel, so that the peer may receive
   // it.
--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -572,6 +572,9 @@
        5'000'000, false},
       {answer("200 OK"), AttemptResult::ok, 0, true},
       {"HTTP/1.1 429 Slow\r\nRetry-", AttemptResult::cancelled, 0, false},
+      // A status line with 200 confirms the delivery, whatever follows it.
+      {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", AttemptResult::ok, 0, true},
+      {"HTTP/1.1 200 OK\r\nContent-", AttemptResult::ok, 0, true},
       {"", AttemptResult::cancelled, 0, false},
   };
   for (const auto& row : rows) {
