--- a/harness/http_stand_in.cpp
+++ b/harness/http_stand_in.cpp
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <chrono>
 #include <cstdlib>
 
 #include "../src/core/clock.h"
@@ -37,7 +39,9 @@
   std::string in, out;
   char piece[16384];
   Micros first_byte = 0;
-  std::function<void()> on_unread;  // of the answer written last
+  std::function<void()> on_unread;    // of the answer written last
+  std::optional<LateCopy> late_copy;  // of the answer written last, not written yet
+  std::string copy;
   bool open = true, busy = false, peer_ended = false;
 
   void read() {
@@ -91,6 +95,9 @@
     r.method = r.head.substr(0, space);
     r.target = r.head.substr(space + 1, r.head.find(' ', space + 1) - space - 1);
     r.first_byte = first_byte;
+    r.is_crossed = late_copy.has_value();
+    if (late_copy && late_copy->trigger == LateCopy::Trigger::next_request)
+      scheduleCopy();
     busy = true;
     read();  // hears of the end while the answer is made
     owner.handler_(std::move(r), [weak = weak_from_this()](Reaction reaction) {
@@ -99,8 +106,28 @@
     });
   }
 
+  // Writes the copy after its delay, whatever has come on the connection by then.
+  void scheduleCopy() {
+    const auto timer = std::make_shared<asio::steady_timer>(socket.get_executor(),
+                                                            std::chrono::microseconds(late_copy->delay));
+    timer->async_wait([timer, weak = weak_from_this()](error_code error) {
+      const auto self = weak.lock();
+      if (error || !self || !self->open)
+        return;
+      error_code ignored;
+      asio::write(self->socket, asio::buffer(self->copy), ignored);
+      self->late_copy.reset();
+    });
+  }
+
   bool answer(Reaction r) {
     out = std::move(r.bytes);
+    if (r.late_copy && !late_copy) {
+      late_copy = r.late_copy;
+      copy = out;
+      if (late_copy->trigger == LateCopy::Trigger::answer)
+        scheduleCopy();
+    }
     on_unread = std::move(r.on_unread);
     const bool close_after = r.close || r.reset, reset = r.reset;
     asio::async_write(socket, asio::buffer(out),
--- a/harness/http_stand_in.h
+++ b/harness/http_stand_in.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,16 +16,25 @@
 
 struct Request {
   std::string method, target, head, body;
-  Micros first_byte = 0;                             // when it came, on the monotonic clock
+  Micros first_byte = 0;    // when it came, on the monotonic clock
+  bool is_crossed = false;  // a late copy of the previous answer will be written after this request came
   std::string field(const std::string& name) const;  // names as the sender writes them
 };
 
+// A second copy of an answer, written on the same connection after a delay (microseconds).
+struct LateCopy {
+  enum class Trigger : std::uint8_t { answer, next_request };
+  Trigger trigger = Trigger::answer;  // the event at which the delay starts
+  Micros delay = 0;
+};
+
 struct Reaction {
   std::string bytes;
   bool close = false, reset = false;
   // Called once if the peer had closed the connection before it read these bytes: its system answered them
   // with a reset. Not called when the peer read them, however it closes afterwards.
   std::function<void()> on_unread = {};
+  std::optional<LateCopy> late_copy = {};
 };
 std::string httpAnswer(const std::string& status, const std::string& fields = "",
                        const std::string& body = "");
--- a/harness/scenarios.cpp
+++ b/harness/scenarios.cpp
@@ -127,6 +127,37 @@
   return finished(w, [&] { return json{{"rate", rate}, {"kills", kills}}; });
 }
 
+// Endpoints write a second copy of some answers late, so that it comes after the next call on the connection:
+// half of the time for any connection, half of the time for each connection that is used again.
+json lateCopies(const Options& o) {
+  EnvironmentConfig shape;
+  shape.behaviour.service = 60'000;
+  shape.behaviour.spread = 60'000;
+  shape.http = false;
+  TestEnvironment w(o.sender, o.seed, shape);
+  w.start();
+  const double rate = o.rate > 0 ? o.rate : 100;
+  w.load(rate, kSecond, {Via::resp});  // the usual latency becomes known
+  const Micros part = std::max<Micros>(kSecond, o.seconds * kSecond / 2);
+  for (const auto trigger : {LateCopy::Trigger::answer, LateCopy::Trigger::next_request}) {
+    w.onStandIns([&] {
+      for (std::size_t i = 0; i < w.endpoints(); ++i) {
+        w.endpoint(i).behaviour.copy_trigger = trigger;
+        w.endpoint(i).behaviour.late_copies = trigger == LateCopy::Trigger::answer ? 0.5 : 0.05;
+      }
+    });
+    w.load(rate, part, {Via::resp});
+  }
+  return finished(w, [&] {
+    std::uint64_t calls = 0, crossed = 0;
+    for (std::size_t i = 0; i < w.endpoints(); ++i) {
+      calls += w.endpoint(i).calls();
+      crossed += w.endpoint(i).crossedCalls();
+    }
+    return json{{"rate", rate}, {"calls", calls}, {"crossed_calls", crossed}, {"ends", w.ledger.endTimes()}};
+  });
+}
+
 // One message through each door, end to end.
 json first(const Options& o) {
   TestEnvironment w(o.sender, o.seed, {});
@@ -272,6 +303,7 @@
        {restart, "killed and stopped in mid-outage, with what it knows and without, side by side"}},
       {"play", {play, "a world that stays up until Ctrl-C, with keys and lines to paste"}},
       {"drain", {drain, "endpoints drain and come back under load on both doors"}},
+      {"copies", {lateCopies, "second copies of answers come late on connections that are used again"}},
       {"kill", {kill, "SIGKILL at random moments under load on both doors"}}};
   return all;
 }
--- a/harness/stand_ins.cpp
+++ b/harness/stand_ins.cpp
@@ -99,6 +99,22 @@
 }
 }  // namespace
 
+void EndpointStandIn::rejectCrossedCall(HttpStandIn::Respond respond) {
+  ++crossed_calls_;
+  const auto timer = std::make_shared<asio::steady_timer>(io_, std::chrono::microseconds(behaviour.service));
+  timer->async_wait([timer, respond = std::move(respond)](const boost::system::error_code& error) {
+    if (!error)
+      respond({httpAnswer("503 Service Unavailable"), false, false});
+  });
+}
+
+std::optional<LateCopy> EndpointStandIn::drawLateCopy() {
+  if (behaviour.late_copies <= 0 || std::uniform_real_distribution<>(0, 1)(random_) >= behaviour.late_copies)
+    return std::nullopt;
+  const auto span = static_cast<std::uint64_t>(behaviour.longest_copy_delay);
+  return LateCopy{behaviour.copy_trigger, static_cast<Micros>(random_() % span) + 1};
+}
+
 void EndpointStandIn::call(Request r, HttpStandIn::Respond respond) {
   ++calls_;
   if (on_call)
@@ -125,6 +141,10 @@
       return;
     }
   }
+  if (r.is_crossed) {
+    rejectCrossedCall(std::move(respond));
+    return;
+  }
   if (behaviour.shut) {
     respond({httpAnswer("503 Service Unavailable"), false, false});
     return;
@@ -167,7 +187,8 @@
     } else if (draw < behaviour.fail + behaviour.spoil) {
       record->doubt = true;
       respond({"HTTP/1.1 2", false, true});
-    } else if (respond({httpAnswer("200 OK", fields), false, false, crossesTimeout(*record)})) {
+    } else if (respond(
+                   {httpAnswer("200 OK", fields), false, false, crossesTimeout(*record), drawLateCopy()})) {
       if (known)
         ledger_.delivered(*record, monotonicNow());
     } else {
--- a/harness/stand_ins.h
+++ b/harness/stand_ins.h
@@ -24,6 +24,11 @@
   bool silent = false, shut = false;  // takes calls and answers none; answers 503
   bool answers_at_end = false;        // answers once the caller has ended its connection: the two cross
   bool open_to_all = false;           // answers for messages that the ledger doesn't know, too
+  // The share of 200s of which a second copy follows late on the connection. A call that comes before the
+  // copy is not executed and is answered 503.
+  double late_copies = 0;
+  LateCopy::Trigger copy_trigger = LateCopy::Trigger::answer;
+  Micros longest_copy_delay = 10'000;
 };
 
 // What the endpoints of one destination share: what it takes of all callers together, a wait that it tells,
@@ -73,9 +78,13 @@
   // Sees each call that comes in.
   std::function<void(const Request&)> on_call;
   std::uint64_t calls() const { return calls_; }
+  std::uint64_t crossedCalls() const { return crossed_calls_; }  // a copy came after them
+  std::size_t connections() const { return server_.connections(); }
 
  private:
   void call(Request r, HttpStandIn::Respond respond);
+  void rejectCrossedCall(HttpStandIn::Respond respond);
+  std::optional<LateCopy> drawLateCopy();
   boost::asio::io_context& io_;
   DeliveryChecker& ledger_;
   std::string name_, listed_at_;
@@ -83,7 +92,7 @@
   std::mt19937_64 random_;
   Micros drained_at_ = kNever, span_at_ = 0;
   double taken_ = 0;
-  std::atomic<std::uint64_t> calls_{0};
+  std::atomic<std::uint64_t> calls_{0}, crossed_calls_{0};
   Record stranger_;
   std::vector<std::function<void()>> crossing_answers_;  // of calls that wait for the end of their connection
   std::shared_ptr<DestinationState> standing_;
--- a/src/core/delivery_engine.cpp
+++ b/src/core/delivery_engine.cpp
@@ -17,6 +17,12 @@
 constexpr Micros kHealthRetention = 30LL * 24 * 3600 * 1'000'000;  // from the last observation
 constexpr Micros kHandoverRetryAfter = 100'000;  // sent to clients while another process owns the journal
 
+int countNeverExecuted(const std::vector<JournaledAttempt>& attempts) {
+  return static_cast<int>(
+      std::count_if(attempts.begin(), attempts.end(),
+                    [](const JournaledAttempt& attempt) { return attempt.never_executed; }));
+}
+
 }  // namespace
 
 DeliveryEngine::DeliveryEngine(boost::asio::io_context& io, Settings settings, std::uint64_t seed,
@@ -62,8 +68,12 @@
       outcomes_.recoverNotice(entry);
       continue;
     }
-    registry_.addOpen(
-        {entry.message, contentDigest(entry.message), static_cast<int>(entry.attempts.size()), {}, {}});
+    registry_.addOpen({entry.message,
+                       contentDigest(entry.message),
+                       static_cast<int>(entry.attempts.size()),
+                       {},
+                       {},
+                       countNeverExecuted(entry.attempts)});
     if (const ClassVersion& version = entry.message.class_version)
       max_lifetime_ = std::max(max_lifetime_, version->deadline);
     events_.emplace_back(toRecoveredMessage(entry, to_monotonic, in_flight));
@@ -237,14 +247,16 @@
 void DeliveryEngine::onAttemptFinished(AttemptOutcome outcome) {
   if (action_guard_)
     action_guard_->onAttemptFinished(outcome);
-  if (registry_.findOpen(outcome.id)) {
+  if (OpenMessage* open = registry_.findOpen(outcome.id)) {
     const bool never_executed = outcome.result == AttemptResult::rejected ||
                                 outcome.result == AttemptResult::connect_failed ||
                                 outcome.result == AttemptResult::not_sent;
-    if (outcome.already_finished)
+    if (outcome.already_finished) {
       outcomes_.recordReported(outcome.id, outcome.result, max_lifetime_);
-    else if (never_executed)
+    } else if (never_executed) {
       journal_.recordNeverExecuted(outcome.id, static_cast<std::size_t>(outcome.attempt));
+      ++open->attempts_never_executed;
+    }
   }
   enqueueEvent(std::move(outcome));
 }
--- a/src/core/delivery_engine_iteration.cpp
+++ b/src/core/delivery_engine_iteration.cpp
@@ -160,8 +160,9 @@
   }
   const Micros write_within = start.write_within > 0 ? start.write_within : kNoWriteLimit;
   const std::string version_stamp = action_guard_ ? action_guard_->versionStamp(planned.version) : "";
-  transport_.startAttempt(
-      {open->message, planned.attempt, start.endpoint, start.timeout, write_within, version_stamp});
+  const bool may_have_run = planned.attempt > open->attempts_never_executed;
+  transport_.startAttempt({open->message, planned.attempt, start.endpoint, start.timeout, write_within,
+                           version_stamp, may_have_run});
 }
 
 bool DeliveryEngine::isAttemptAllowed(const AttemptId& id, const OpenMessage& open,
--- a/src/core/message_registry.h
+++ b/src/core/message_registry.h
@@ -26,6 +26,7 @@
   // Callbacks of the submissions that are not answered yet; empty once the message is accepted.
   std::vector<SubmissionCallback> replies;
   std::vector<FinalOutcomeCallback> watchers;  // called when the final outcome is published
+  int attempts_never_executed = 0;             // of `attempts`, those whose outcome shows it
 };
 
 class MessageRegistry {
--- a/src/core/transport.h
+++ b/src/core/transport.h
@@ -24,6 +24,8 @@
   Micros write_within = kNoWriteLimit;
   // The decision version of the attempt, for the endpoint; empty: none.
   std::string version_stamp = {};
+  // An earlier attempt may have run: the endpoint may answer without executing the message again.
+  bool may_have_run = false;
 };
 
 class Transport {
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -52,6 +52,7 @@
   membership_dns_forbidden,
   membership_stale,
   attempt_finished,
+  attempt_copy_discarded,
   message_finished,
   message_orphaned,
   knowledge_read,
@@ -162,10 +163,10 @@
     {Event::attempt_finished, "attempt.finished", Level::debug,
      "message endpoint attempt outcome exchange status_line reused idle_us first_byte_us",
      "an attempt finished; the fields after outcome describe the HTTP exchange: how it ended, the status "
-     "line "
-     "as it was received, whether the connection was reused (1) after how long an idle time, and the time "
-     "from "
-     "the last byte written to the first byte received (-1: none)"},
+     "line as it was received, whether the connection was reused (1) after how long an idle time, and the "
+     "time from the last byte written to the first byte received (-1: none)"},
+    {Event::attempt_copy_discarded, "attempt.copy_discarded", Level::info, "message endpoint attempt copies",
+     "the endpoint sent late copies of earlier responses on a reused connection; they were discarded"},
     {Event::message_finished, "message.finished", Level::debug, "message outcome attempts",
      "a message reached its final outcome"},
     {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 
 #include "answer_reader.h"
+#include "response_history.h"
 
 namespace grademux {
 
@@ -96,6 +97,7 @@
   std::string in, out;
   std::size_t sent = 0;  // bytes of `out`
   std::optional<AnswerReader> reader;
+  ResponseHistory history;  // of the open connection
   Done done;
   std::function<bool()> is_write_allowed;
   // Counters of exchanges started or finished and of timers set. A handler with an earlier number is ignored:
@@ -104,6 +106,9 @@
   bool open = false, written = false, response_started = false, keep = false, reused = false;
   bool within_response = false;       // a response has begun, other than a complete interim response
   bool retry_after_received = false;  // the complete head of a 429 has arrived
+  std::uint64_t response_digest = 0;  // of the complete response
+  int discarded_copies = 0;           // in the current exchange
+  Micros earliest_response = 0;       // of the current request
   TimePoint deadline, write_deadline;
   TimePoint written_at, first_byte_at;  // of the current exchange, valid if `written`, `response_started`
   TimePoint idle_since;                 // end of the previous exchange, valid if `reused`
@@ -114,11 +119,13 @@
     const Micros write_limit = std::min(limit, request.write_within);
     write_deadline = now + std::chrono::microseconds(write_limit);
     is_write_allowed = std::move(request.is_write_allowed);
+    earliest_response = request.earliest_response;
     out = serializeRequest(std::move(request), host);
     sent = 0;
     reader.emplace(body_limit);
     done = std::move(then);
     written = response_started = within_response = keep = retry_after_received = false;
+    discarded_copies = 0;
     reused = open;
     const std::uint64_t exchange = ++exchange_number;
     if (!open)
@@ -253,15 +260,54 @@
         first_byte_at = Clock::now();
       response_started = true;
       in.append(buffer, size);
+      if (parseResponses(exchange))
+        return true;
+    }
+    return false;
+  }
+
+  // Parses the bytes in `in`. Returns true if they ended the exchange.
+  bool parseResponses(std::uint64_t exchange) {
+    for (;;) {
       const AnswerReader::State state = reader->parse(in);
-      if (state != AnswerReader::State::partial) {
-        keep = state == AnswerReader::State::complete && reader->keepAlive() && in.empty();
+      if (state == AnswerReader::State::partial) {
+        setResponseTimer(exchange);
+        return false;
+      }
+      const bool complete = state == AnswerReader::State::complete;
+      if (complete)
+        response_digest = responseDigest(reader->head());
+      if (!complete || !isLateCopy()) {
+        keep = complete && reader->keepAlive() && in.empty() && discarded_copies == 0;
         end(state);
         return true;
       }
-      setResponseTimer(exchange);
+      discardResponse(exchange);
     }
-    return false;
+  }
+
+  // HTTP/1.1 has no identifier that relates a response to its request (RFC 9112, section 9.2): time and
+  // content are the only signs.
+  bool isLateCopy() const { return isImplausiblyEarly() && history.contains(response_digest); }
+
+  // Whether the response on a reused connection began sooner than the peer can have answered this request.
+  bool isImplausiblyEarly() const {
+    return reused && response_started && microsBetween(written_at, first_byte_at) < earliest_response;
+  }
+
+  // Whether the part of a response that has arrived confirms that the request was executed.
+  bool isConfirmedByStatus() const { return reader->hasStatus200() && !isImplausiblyEarly(); }
+
+  // Goes on with the bytes after a late copy. The connection is not used again.
+  void discardResponse(std::uint64_t exchange) {
+    ++discarded_copies;
+    response_started = within_response = retry_after_received = false;
+    reader.emplace(body_limit);
+    if (!in.empty()) {
+      response_started = true;
+      first_byte_at = Clock::now();
+    }
+    setTimer(exchange, remaining(deadline));
   }
 
   // Limits the time for the rest of a partial response. Between an interim response and the final one, the
@@ -284,13 +330,15 @@
 
   void end(AnswerReader::State state) {
     const bool complete = state == AnswerReader::State::complete;
-    finish(complete || reader->hasStatus200() ? ExchangeResult::answered : ExchangeResult::broken, complete);
+    finish(complete || isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::broken, complete);
   }
 
   void finish(ExchangeResult how, bool complete = false) {
     ++exchange_number;
     timer.cancel();
     HttpAnswer answer = buildAnswer(how, complete);
+    if (keep)
+      history.add(response_digest);
     reader.reset();
     in.clear();
     out = {};
@@ -309,6 +357,8 @@
     answer.complete = complete;
     answer.response_started = response_started;
     answer.reused = reused;
+    answer.repeats_earlier = complete && history.contains(response_digest);
+    answer.discarded_copies = discarded_copies;
     answer.status_line = reader->statusLine();
     if (written && reused)
       answer.idle_time = microsBetween(idle_since, written_at);
@@ -332,7 +382,7 @@
     if (!written)
       finish(ExchangeResult::not_written);
     else if (!readAvailable(exchange_number))
-      finish(reader->hasStatus200() ? ExchangeResult::answered : ExchangeResult::timed_out);
+      finish(isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::timed_out);
     return last;
   }
 
@@ -341,6 +391,7 @@
     open = false;
     socket.close(ignored);
     in.clear();
+    history.clear();
   }
 };
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -30,6 +30,10 @@
   // Time limit for writing the last byte, in microseconds from the call of exchange(). When the limit passes,
   // the exchange ends as not_written.
   Micros write_within = kNoLimit;
+  // On a reused connection, a response that begins sooner than this after the last byte was written and
+  // repeats an earlier response of the connection is a late copy of it: it is discarded, and the exchange
+  // goes on. Microseconds; 0: every response is taken.
+  Micros earliest_response = 0;
 };
 
 enum class ExchangeResult {
@@ -50,6 +54,9 @@
   // The response is complete and well-formed. If false on `answered`, only the status line with 200 is valid.
   bool complete = false;
   bool reused = false;  // the request used the connection of an earlier exchange
+  // The response repeats an earlier one of the same connection: it may be a late copy.
+  bool repeats_earlier = false;
+  int discarded_copies = 0;  // late copies of earlier responses that came before this one
   // How long the reused connection had been idle when the last byte of the request was written, and how long
   // after that the first byte of the response arrived, in microseconds; -1: neither happened.
   Micros idle_time = -1, first_byte_delay = -1;
--- /dev/null
+++ b/src/net/response_history.cpp
@@ -0,0 +1,43 @@
+// See response_history.h.
+#include "response_history.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace grademux {
+
+namespace {
+
+// Continues a digest with the next part.
+std::uint64_t extendDigest(std::uint64_t digest, std::string_view part) {
+  return XXH3_64bits_withSeed(part.data(), part.size(), digest);
+}
+
+std::string_view viewOf(boost::beast::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+std::uint64_t responseDigest(const HttpResponse& response) {
+  std::uint64_t digest = response.result_int();
+  for (const auto& field : response) {
+    digest = extendDigest(digest, viewOf(field.name_string()));
+    digest = extendDigest(digest, viewOf(field.value()));
+  }
+  return extendDigest(digest, response.body());
+}
+
+void ResponseHistory::add(std::uint64_t digest) {
+  digests_.push_back(digest);
+  if (digests_.size() > kMaxResponses)
+    digests_.pop_front();
+}
+
+bool ResponseHistory::contains(std::uint64_t digest) const {
+  return std::find(digests_.begin(), digests_.end(), digest) != digests_.end();
+}
+
+}  // namespace grademux
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -20,6 +20,11 @@
 
 void logAttemptFinished(const AttemptId& id, const std::string& endpoint, AttemptResult result,
                         const HttpAnswer& answer) {
+  if (answer.discarded_copies > 0)
+    log::write(log::Event::attempt_copy_discarded, {{"message", id.message_id},
+                                                    {"endpoint", endpoint},
+                                                    {"attempt", id.attempt},
+                                                    {"copies", answer.discarded_copies}});
   if (!log::isEnabled(log::Event::attempt_finished))
     return;
   log::write(log::Event::attempt_finished, {{"message", id.message_id},
@@ -43,11 +48,13 @@
   if (known == address)
     return;
   known = address;
+  response_times_.forget(endpoint);
   closeIdleConnections(endpoint);
 }
 
 void HttpTransport::removeEndpoint(const std::string& endpoint) {
   closeIdleConnections(endpoint);
+  response_times_.forget(endpoint);
   addresses_.erase(endpoint);
 }
 
@@ -55,15 +62,18 @@
   cancelUnwrittenIf([&](const Attempt& attempt) { return attempt.endpoint == endpoint; });
 }
 
-// Returns the most recently used idle connection that is still usable, or null.
+// Returns the most recently used idle connection that is still usable and has rested, or null.
 std::unique_ptr<HttpConnection> HttpTransport::takeIdleConnection(const std::string& endpoint) {
   const auto pool = idle_connections_.find(endpoint);
   if (pool == idle_connections_.end())
     return nullptr;
   auto& idle = pool->second;
-  while (!idle.empty()) {
-    std::unique_ptr<HttpConnection> freshest = std::move(idle.back().connection);
-    idle.pop_back();
+  const Micros rested_since = monotonicNow() - response_times_.restAfterResponse(endpoint);
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (idle[i].since > rested_since)
+      continue;
+    std::unique_ptr<HttpConnection> freshest = std::move(idle[i].connection);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
     --idle_count_;
     if (freshest->isReusable())
       return freshest;
@@ -84,6 +94,7 @@
     http.fields.emplace_back("X-Fleet-Version", request.version_stamp);
   http.body = message.body;
   http.write_within = request.write_within;
+  http.earliest_response = response_times_.earliestPlausible(request.endpoint);
   if (is_send_allowed_)
     http.is_write_allowed = [this, endpoint = request.endpoint] { return is_send_allowed_(endpoint); };
   return http;
@@ -99,7 +110,11 @@
   attempt.started_at = monotonicNow();
   if (request.write_within != kNoWriteLimit)
     attempt.write_deadline = attempt.started_at + request.write_within;
-  attempt.connection = takeIdleConnection(request.endpoint);
+  // An endpoint may answer at once for a message that it has executed before. On a new connection such a
+  // response can't be mistaken for a late copy of another one.
+  attempt.is_repeat = request.may_have_run;
+  if (!request.may_have_run)
+    attempt.connection = takeIdleConnection(request.endpoint);
   try {
     if (!attempt.connection)
       attempt.connection = std::make_unique<HttpConnection>(io_, parseAddress(attempt.address),
@@ -161,7 +176,17 @@
   cancelUnwrittenIf([&](const Attempt& other) { return scope_of_(other.endpoint) == scope; });
 }
 
+// Only responses that can't be late copies of earlier ones count, and only of first executions.
+void HttpTransport::recordResponseTime(const Attempt& attempt, const HttpAnswer& answer) {
+  const auto listed = addresses_.find(attempt.endpoint);
+  const bool is_listed = listed != addresses_.end() && listed->second == attempt.address;
+  const bool is_own = answer.complete && !answer.repeats_earlier && answer.discarded_copies == 0;
+  if (is_listed && is_own && !attempt.is_repeat && answer.first_byte_delay >= 0)
+    response_times_.record(attempt.endpoint, answer.first_byte_delay, answer.reused);
+}
+
 AttemptOutcome HttpTransport::finishAttempt(const AttemptId& id, Attempt& attempt, const HttpAnswer& answer) {
+  recordResponseTime(attempt, answer);
   AttemptOutcome outcome = outcomeOf(id, attempt, answer);
   // The decision module counts idle connections itself: the condition here must match it.
   const bool reusable = outcome.result == AttemptResult::ok || outcome.result == AttemptResult::error ||
--- a/src/transport/http/http_transport.h
+++ b/src/transport/http/http_transport.h
@@ -14,6 +14,7 @@
 
 #include "../../core/transport.h"
 #include "../../net/http_connection.h"
+#include "response_times.h"
 
 namespace grademux {
 
@@ -54,6 +55,7 @@
   struct Attempt {
     std::unique_ptr<HttpConnection> connection;
     std::string endpoint, address;
+    bool is_repeat = false;  // an earlier attempt may have run
     Micros started_at = 0;
     Micros write_deadline = kNoWriteLimit;  // on the monotonic clock
   };
@@ -63,6 +65,7 @@
   void onAttemptFinished(const AttemptId& id, const HttpAnswer& answer);
   AttemptOutcome outcomeOf(const AttemptId& id, const Attempt& attempt, const HttpAnswer& answer) const;
   AttemptOutcome finishAttempt(const AttemptId& id, Attempt& attempt, const HttpAnswer& answer);
+  void recordResponseTime(const Attempt& attempt, const HttpAnswer& answer);
   void applyRetryAfter(const std::string& endpoint, Micros retry_after);
   void postOutcome(AttemptOutcome outcome);
   void returnToPool(Attempt& attempt);
@@ -74,6 +77,7 @@
   Limits limits_;
   OnOutcome on_outcome_;
   std::map<std::string, std::string> addresses_;
+  ResponseTimes response_times_;
   std::map<std::string, std::deque<IdleConnection>>
       idle_connections_;  // by endpoint, the most recently used last
   std::size_t idle_count_ = 0;
--- a/tests/core/delivery_engine_test.cpp
+++ b/tests/core/delivery_engine_test.cpp
@@ -18,11 +18,15 @@
   void setAddress(const std::string&, const std::string&) override {}
   void removeEndpoint(const std::string&) override {}
   void cancelUnwritten(const std::string& endpoint) override { cancelled.push_back(endpoint); }
-  void startAttempt(const AttemptRequest& request) override { started.push_back(request.message.id); }
+  void startAttempt(const AttemptRequest& request) override {
+    started.push_back(request.message.id);
+    may_have_run.push_back(request.may_have_run);
+  }
   void cancelAttempt(const std::string&, int) override {}
   void closeIdleConnections(const std::string&) override {}
   std::size_t attemptsInFlight() const override { return started.size(); }
   std::vector<std::string> started, cancelled;  // message ids, endpoints
+  std::vector<bool> may_have_run;               // of each started attempt
 };
 
 struct EngineFixture {
@@ -107,6 +111,30 @@
   EXPECT_TRUE(fixture.submit("a")[0].final_outcome.has_value());
 }
 
+// Guards against an attempt on a connection where the response to a message that has run before, which may
+// come at once, would be mistaken for a late copy. Attempts that were rejected have not run.
+TEST(DeliveryEngine, TellsTransportWhetherAnEarlierAttemptMayHaveRun) {
+  EngineFixture fixture;
+  fixture.submit("a");
+  const auto started = [&](std::size_t count) {
+    return loopback::eventually([&] {
+      fixture.run();
+      return fixture.transport.started.size() >= count;
+    });
+  };
+  AttemptOutcome outcome;
+  outcome.id = "a";
+  ASSERT_TRUE(started(1));
+  for (const AttemptResult result :
+       {AttemptResult::rejected, AttemptResult::timeout, AttemptResult::rejected}) {
+    outcome.result = result;
+    fixture.engine.onAttemptFinished(outcome);
+    ++outcome.attempt;
+    ASSERT_TRUE(started(static_cast<std::size_t>(outcome.attempt) + 1));
+  }
+  EXPECT_EQ((std::vector<bool>{false, false, true, true}), fixture.transport.may_have_run);
+}
+
 // Guards against sending an attempt after a slow connect to an endpoint that is draining by then, or that
 // serves another destination.
 TEST(DeliveryEngine, CancelsUnwrittenAttemptsWhenTheEndpointChanges) {
--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -37,6 +37,12 @@
     transport.startAttempt({message(id), 0, "e", timeout});
     return waitFor(before + 1);
   }
+  // Lets idle connections rest, as they do between two calls.
+  void rest() {
+    constexpr std::chrono::milliseconds kLongerThanAnyRest{25};
+    io.restart();
+    io.run_for(kLongerThanAnyRest);
+  }
   AttemptOutcome waitFor(std::size_t count) {
     const auto until = std::chrono::steady_clock::now() + loopback::kLong;
     while (outcomes.size() < count && std::chrono::steady_clock::now() < until) {
@@ -319,6 +325,7 @@
   TransportFixture fixture;
   fixture.transport.setAddress("e", s.address());
   fixture.runAttempt("a");
+  fixture.rest();
   fixture.runAttempt("b");
   EXPECT_EQ(s.seen()[0].connection, s.seen()[1].connection);
   fixture.transport.closeIdleConnections("e");
@@ -353,10 +360,12 @@
   TransportFixture fixture;
   fixture.transport.setAddress("e", s.address());
   EXPECT_EQ(AttemptResult::ok, fixture.runAttempt("a").result);
+  fixture.rest();
   AttemptOutcome o = fixture.runAttempt("b");
   EXPECT_EQ(AttemptResult::reset, o.result);
   EXPECT_TRUE(o.stale_connection);
   EXPECT_EQ(AttemptResult::ok, fixture.runAttempt("c").result);
+  fixture.rest();
   EXPECT_FALSE(fixture.runAttempt("d").stale_connection);  // part of a response arrived
   o = fixture.runAttempt("e");
   EXPECT_EQ(AttemptResult::reset, o.result);
@@ -412,6 +421,7 @@
   EXPECT_EQ(AttemptResult::ok, fixture.runAttempt("a").result);
   EXPECT_EQ(1, asked);
   may = false;
+  fixture.rest();
   EXPECT_EQ(AttemptResult::connect_failed, fixture.runAttempt("kept").result);  // on the idle connection
   EXPECT_EQ(AttemptResult::connect_failed, fixture.runAttempt("fresh").result);
   EXPECT_EQ(3, asked);
@@ -629,6 +639,128 @@
   ::close(fd);
 }
 
+// An endpoint that takes its time for the first response, and then writes late copies of it. What arrives at
+// once after a request on the same connection can't be the response to that request.
+struct LateCopyFixture : TransportFixture {
+  LateCopyFixture() {
+    fd = server.startFirstAttempt(*this, "first");
+    io.restart();
+    io.run_for(kResponseTime);
+    ManualServer::send(fd, kFirstResponse);
+    EXPECT_EQ(AttemptResult::ok, waitFor(1).result);
+    EXPECT_EQ(1u, transport.idleConnections());
+    rest();
+  }
+  ~LateCopyFixture() { ::close(fd); }
+  // Starts the next attempt, whose request arrives on the connection of the first.
+  void startSecondAttempt(Micros timeout = 60'000'000) {
+    transport.startAttempt({message("second"), 0, "e", timeout});
+    ManualServer::readRequest(*this, fd);
+  }
+  // Lets the transport read what was sent.
+  void runLoop() {
+    io.restart();
+    io.poll();
+  }
+  // Long beside the pauses of a busy machine: an early response comes within a quarter of it.
+  static constexpr std::chrono::milliseconds kResponseTime{1200};
+  const std::string kFirstResponse = answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n", "done");
+  ManualServer server;
+  int fd = -1;
+};
+
+// Guards against taking a late copy of an earlier 200 for the response to the next message on the connection:
+// that message would be lost (issue 59, evidence 1 and 2).
+TEST(HttpTransport, DiscardsLateCopyOfEarlierResponseOnReusedConnection) {
+  LateCopyFixture fixture;
+  fixture.startSecondAttempt();
+  ManualServer::send(fixture.fd, fixture.kFirstResponse);
+  fixture.runLoop();
+  EXPECT_EQ(1u, fixture.outcomes.size());
+  ManualServer::send(fixture.fd, answer("503 Full"));
+  EXPECT_EQ(AttemptResult::rejected, fixture.waitFor(2).result);
+  EXPECT_EQ(0u, fixture.transport.idleConnections());
+}
+
+// The same with the copy in pieces, and with the response right behind it.
+TEST(HttpTransport, DiscardsLateCopyInPiecesWithResponseBehindIt) {
+  LateCopyFixture fixture;
+  fixture.startSecondAttempt();
+  constexpr std::size_t kCut = 20;
+  ManualServer::send(fixture.fd, fixture.kFirstResponse.substr(0, kCut));
+  fixture.runLoop();
+  ManualServer::send(fixture.fd,
+                     fixture.kFirstResponse.substr(kCut) + answer("429 Slow", "Retry-After: 5\r\n"));
+  const AttemptOutcome outcome = fixture.waitFor(2);
+  EXPECT_EQ(AttemptResult::rejected, outcome.result);
+  EXPECT_EQ(5'000'000, outcome.retry_after);
+}
+
+// Guards against believing a late copy because nothing else arrives: whether the message ran is unknown.
+TEST(HttpTransport, TimesOutWhenOnlyLateCopyArrives) {
+  LateCopyFixture fixture;
+  fixture.startSecondAttempt(600'000);
+  ManualServer::send(fixture.fd, fixture.kFirstResponse);
+  const AttemptOutcome outcome = fixture.waitFor(2);
+  EXPECT_EQ(AttemptResult::timeout, outcome.result);
+  EXPECT_FALSE(outcome.already_finished);
+}
+
+// Guards against a late copy that is still unread, or has come in part, when the attempt is cancelled.
+TEST(HttpTransport, DiscardsLateCopyOnCancel) {
+  for (const bool whole : {true, false}) {
+    LateCopyFixture fixture;
+    fixture.startSecondAttempt();
+    constexpr std::size_t kCut = 30;  // behind the status line
+    ManualServer::send(fixture.fd, fixture.kFirstResponse.substr(0, whole ? std::string::npos : kCut));
+    fixture.transport.cancelAttempt("second", 0);
+    const AttemptOutcome outcome = fixture.waitFor(2);
+    EXPECT_EQ(AttemptResult::cancelled, outcome.result);
+    EXPECT_FALSE(outcome.already_finished);
+  }
+}
+
+// A response that differs from the earlier ones is the request's own, however early: rejections often are.
+TEST(HttpTransport, TakesEarlyResponseThatRepeatsNoEarlierOne) {
+  LateCopyFixture fixture;
+  fixture.startSecondAttempt();
+  ManualServer::send(fixture.fd, answer("503 Full"));
+  EXPECT_EQ(AttemptResult::rejected, fixture.waitFor(2).result);
+  EXPECT_EQ(1u, fixture.transport.idleConnections());
+}
+
+// Guards against writing a call while bytes that the endpoint wrote right behind its response are on their
+// way.
+TEST(HttpTransport, LeavesConnectionUnusedRightAfterResponse) {
+  LateCopyFixture fixture;
+  fixture.startSecondAttempt();
+  ManualServer::send(fixture.fd, answer("200 OK"));
+  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(2).result);
+  fixture.transport.startAttempt({fixture.message("third"), 0, "e", 60'000'000});
+  fixture.runLoop();
+  const int fd = fixture.server.accept();
+  ManualServer::readRequest(fixture, fd);
+  ManualServer::send(fd, answer("200 OK"));
+  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(3).result);
+  EXPECT_EQ(2u, fixture.transport.idleConnections());
+  ::close(fd);
+}
+
+// Guards against mistaking the response to a message that ran before, which may come at once, for a late
+// copy: the message would be sent again after its delivery.
+TEST(HttpTransport, SendsRepeatOfMessageThatMayHaveRunOnNewConnection) {
+  LateCopyFixture fixture;
+  AttemptRequest repeat{fixture.message("second"), 1, "e", 60'000'000};
+  repeat.may_have_run = true;
+  fixture.transport.startAttempt(repeat);
+  fixture.runLoop();
+  const int fd = fixture.server.accept();
+  ManualServer::readRequest(fixture, fd);
+  ManualServer::send(fd, fixture.kFirstResponse);
+  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(2).result);
+  ::close(fd);
+}
+
 // Guards against a connect time limit that expires in the same loop iteration as the connection is
 // established. The request is written, and then the handler of the limit, which can't be cancelled any more,
 // reports it as not written: a second effect.
@@ -652,6 +784,7 @@
     ManualServer::send(first, answer("200 OK"));
     EXPECT_EQ(AttemptResult::ok, fixture.waitFor(1).result);
     ASSERT_EQ(1u, fixture.transport.idleConnections());
+    fixture.rest();
     fixture.transport.startAttempt(
         {fixture.message("b"), 0, "e",
          60'000'000});  // on the idle connection; nothing is written before the loop runs
