--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -31,6 +31,11 @@
   connection_->exchange(std::move(request), PollSchedule::kConnectTimeout, limit, std::move(done));
 }
 
+void Agent::requestOnNewConnection(HttpRequest request, Micros limit, HttpConnection::Done done) {
+  connection_.reset();
+  this->request(std::move(request), limit, std::move(done));
+}
+
 void Agent::retryAfterDelay(Micros pause, std::function<void()> then) {
   connection_.reset();
   timer_.expires_after(std::chrono::microseconds(pause));
@@ -142,7 +147,7 @@
       line["retry_in_ms"] = pending_[i].second.retry_after_ms;
     request.body += line.dump(-1, ' ', false, json::error_handler_t::replace) + "\n";
   }
-  agent_.request(std::move(request), kNoticeTimeout, [this](const HttpAnswer& answer) {
+  agent_.requestOnNewConnection(std::move(request), kNoticeTimeout, [this](const HttpAnswer& answer) {
     const std::size_t sent = in_flight_;
     in_flight_ = 0;
     const bool unreadable = answer.how == ExchangeResult::answered && answer.status == 400;
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -22,6 +22,8 @@
  public:
   Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host);
   void request(HttpRequest request, Micros limit, HttpConnection::Done done);
+  // The same on a new connection, where a late copy of an earlier response can't arrive.
+  void requestOnNewConnection(HttpRequest request, Micros limit, HttpConnection::Done done);
   // Closes the connection and calls `then` after the pause.
   void retryAfterDelay(Micros pause, std::function<void()> then);
   void moveTo(tcp::endpoint peer, std::string host);  // stops, and connects to this agent from now on
