Plan store: each request on a new connection, so that no late copy answers it

Cause: Consul used its connections again at once. Test: ConsulConnections.LateCopyOfResponseDoesNotAnswerNextSwap, seen to fail before (applied true, true in place of true, false). Consul, notice and fleet tests: 98 of 98 passed.

--- a/src/fleet/consul.cpp
+++ b/src/fleet/consul.cpp
@@ -127,9 +127,9 @@
   Call call = std::move(channel.queue.front());
   channel.queue.pop_front();
   const std::string& address = addresses_[channel.address_index % addresses_.size()];
-  if (!channel.connection || !channel.connection->isReusable())
-    channel.connection =
-        std::make_unique<HttpConnection>(io_, parseAddress(address), address, kMaxAnswerBytes);
+  // On a new connection no late copy of an earlier response can arrive: it could tell that a write was
+  // applied.
+  channel.connection = std::make_unique<HttpConnection>(io_, parseAddress(address), address, kMaxAnswerBytes);
   const Micros connect_timeout = std::min(kConnectTimeout, timeout_);
   channel.connection->exchange(std::move(call.request), connect_timeout, call.timeout,
                                [this, &channel, read_answer = std::move(call.read_answer),
--- a/tests/fleet/consul_test.cpp
+++ b/tests/fleet/consul_test.cpp
@@ -10,6 +10,7 @@
 
 #include "../../harness/store_stand_in.h"
 #include "../../src/core/clock.h"
+#include "../support/held_server.h"
 
 namespace grademux::fleet {
 namespace {
@@ -56,6 +57,37 @@
   EXPECT_GT(seen.value().store_time, 1'600'000'000LL * 1'000'000);
 }
 
+// Guards against taking a late copy of an earlier response for that of the next write: a sender would act
+// under a plan that the store has not applied.
+TEST(ConsulConnections, LateCopyOfResponseDoesNotAnswerNextSwap) {
+  boost::asio::io_context io;
+  loopback::HeldServer server(io);
+  Consul store(io, {server.address()}, 60'000'000);
+  std::vector<bool> applied;
+  const auto swap = [&](const std::string& key) {
+    store.compareAndSwap(key, "value", 1, [&](const StoreResult& result) {
+      applied.push_back(result.has_value() && result.value().applied);
+    });
+    return server.waitForRequest(key);
+  };
+  const auto areAnswered = [&](std::size_t count) {
+    return loopback::eventually([&] {
+      server.runLoop();
+      return applied.size() >= count;
+    });
+  };
+  const int first = swap("first");
+  server.send(first, loopback::answer("200 OK", "", "true"));
+  ASSERT_TRUE(areAnswered(1));
+  const int second = swap("second");
+  server.send(first, loopback::answer("200 OK", "", "true"));
+  server.runLoop();
+  EXPECT_EQ(1u, applied.size());
+  server.send(second, loopback::answer("200 OK", "", "false"));
+  EXPECT_TRUE(areAnswered(2));
+  EXPECT_EQ((std::vector<bool>{true, false}), applied);
+}
+
 TEST_F(ConsulTest, BlockingReadEndsAtAChangeOrAfterItsWait) {
   ASSERT_TRUE(compareAndSwap("one", 0).value().applied);
   const StoreResult first = read();
