Late copies: a response that looks like one is set aside, not discarded

Endpoints there answer in 2 ms with the same bytes each time; where the machine had made the first response slow, the call's own response came below the bound, was discarded, and the attempt timed out.

Change: such a response is set aside; another one decides; if none begins before the limit or the end of the connection, it is taken (the time it waited is no part of the round trip).

--- a/src/log/events.h
+++ b/src/log/events.h
@@ -165,8 +165,8 @@
      "an attempt finished; the fields after outcome describe the HTTP exchange: how it ended, the status "
      "line as it was received, whether the connection was reused (1) after how long an idle time, and the "
      "time from the last byte written to the first byte received (-1: none)"},
-    {Event::attempt_copy_discarded, "attempt.copy_discarded", Level::info, "message endpoint attempt copies",
-     "the endpoint sent late copies of earlier responses on a reused connection; they were discarded"},
+    {Event::attempt_copy_discarded, "attempt.copy_discarded", Level::info, "message endpoint attempt",
+     "the endpoint sent a late copy of an earlier response on a reused connection; it was not taken"},
     {Event::message_finished, "message.finished", Level::debug, "message outcome attempts",
      "a message reached its final outcome"},
     {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -104,13 +104,14 @@
   // a handler that is already queued can't be cancelled.
   std::uint64_t exchange_number = 0, timer_number = 0;
   bool open = false, written = false, response_started = false, keep = false, reused = false;
-  bool within_response = false;       // a response has begun, other than a complete interim response
-  bool retry_after_received = false;  // the complete head of a 429 has arrived
-  std::uint64_t response_digest = 0;  // of the complete response
-  int discarded_copies = 0;           // in the current exchange
-  Micros earliest_response = 0;       // of the current request
+  bool within_response = false;         // a response has begun, other than a complete interim response
+  bool retry_after_received = false;    // the complete head of a 429 has arrived
+  std::uint64_t response_digest = 0;    // of the complete response
+  std::optional<HttpAnswer> set_aside;  // a response of the current exchange that is likely a late copy
+  Micros earliest_response = 0;         // of the current request
   TimePoint deadline, write_deadline;
   TimePoint written_at, first_byte_at;  // of the current exchange, valid if `written`, `response_started`
+  TimePoint set_aside_at;               // valid if `set_aside`
   TimePoint idle_since;                 // end of the previous exchange, valid if `reused`
 
   void begin(HttpRequest request, Micros connect_limit, Micros limit, Done then) {
@@ -125,7 +126,7 @@
     reader.emplace(body_limit);
     done = std::move(then);
     written = response_started = within_response = keep = retry_after_received = false;
-    discarded_copies = 0;
+    set_aside.reset();
     reused = open;
     const std::uint64_t exchange = ++exchange_number;
     if (!open)
@@ -278,11 +279,11 @@
       if (complete)
         response_digest = responseDigest(reader->head());
       if (!complete || !isLateCopy()) {
-        keep = complete && reader->keepAlive() && in.empty() && discarded_copies == 0;
+        keep = complete && reader->keepAlive() && in.empty() && !set_aside;
         end(state);
         return true;
       }
-      discardResponse(exchange);
+      setResponseAside(exchange);
     }
   }
 
@@ -298,9 +299,10 @@
   // Whether the part of a response that has arrived confirms that the request was executed.
   bool isConfirmedByStatus() const { return reader->hasStatus200() && !isImplausiblyEarly(); }
 
-  // Goes on with the bytes after a late copy. The connection is not used again.
-  void discardResponse(std::uint64_t exchange) {
-    ++discarded_copies;
+  // Sets the likely late copy aside and goes on with the bytes after it. The connection is not used again.
+  void setResponseAside(std::uint64_t exchange) {
+    set_aside = buildAnswer(ExchangeResult::answered, true);
+    set_aside_at = Clock::now();
     response_started = within_response = retry_after_received = false;
     reader.emplace(body_limit);
     if (!in.empty()) {
@@ -333,10 +335,14 @@
     finish(complete || isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::broken, complete);
   }
 
-  void finish(ExchangeResult how, bool complete = false) {
+  void finish(ExchangeResult how, bool complete = false, bool cancelled = false) {
     ++exchange_number;
     timer.cancel();
-    HttpAnswer answer = buildAnswer(how, complete);
+    // The response that was set aside was the request's own after all if no other one has begun.
+    const bool takes_set_aside = set_aside && !response_started && !cancelled;
+    HttpAnswer answer = takes_set_aside ? *set_aside : buildAnswer(how, complete);
+    if (takes_set_aside)
+      answer.set_aside_for = microsBetween(set_aside_at, Clock::now());
     if (keep)
       history.add(response_digest);
     reader.reset();
@@ -358,7 +364,7 @@
     answer.response_started = response_started;
     answer.reused = reused;
     answer.repeats_earlier = complete && history.contains(response_digest);
-    answer.discarded_copies = discarded_copies;
+    answer.discarded_copy = set_aside.has_value();
     answer.status_line = reader->statusLine();
     if (written && reused)
       answer.idle_time = microsBetween(idle_since, written_at);
@@ -382,7 +388,7 @@
     if (!written)
       finish(ExchangeResult::not_written);
     else if (!readAvailable(exchange_number))
-      finish(isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::timed_out);
+      finish(isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::timed_out, false, true);
     return last;
   }
 
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -31,8 +31,10 @@
   // the exchange ends as not_written.
   Micros write_within = kNoLimit;
   // On a reused connection, a response that begins sooner than this after the last byte was written and
-  // repeats an earlier response of the connection is a late copy of it: it is discarded, and the exchange
-  // goes on. Microseconds; 0: every response is taken.
+  // repeats an earlier response of the connection is likely a late copy of it. It is set aside until another
+  // response comes, which is then the request's own; it is taken only if none has begun when the exchange
+  // ends by its limit or by the end of the connection. A part of such a response confirms nothing.
+  // Microseconds; 0: every response is taken at once.
   Micros earliest_response = 0;
 };
 
@@ -56,7 +58,8 @@
   bool reused = false;  // the request used the connection of an earlier exchange
   // The response repeats an earlier one of the same connection: it may be a late copy.
   bool repeats_earlier = false;
-  int discarded_copies = 0;  // late copies of earlier responses that came before this one
+  bool discarded_copy = false;  // a likely late copy of an earlier response came, and was not taken
+  Micros set_aside_for = 0;     // how long this response was set aside before it was taken, in microseconds
   // How long the reused connection had been idle when the last byte of the request was written, and how long
   // after that the first byte of the response arrived, in microseconds; -1: neither happened.
   Micros idle_time = -1, first_byte_delay = -1;
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -20,11 +20,9 @@
 
 void logAttemptFinished(const AttemptId& id, const std::string& endpoint, AttemptResult result,
                         const HttpAnswer& answer) {
-  if (answer.discarded_copies > 0)
-    log::write(log::Event::attempt_copy_discarded, {{"message", id.message_id},
-                                                    {"endpoint", endpoint},
-                                                    {"attempt", id.attempt},
-                                                    {"copies", answer.discarded_copies}});
+  if (answer.discarded_copy)
+    log::write(log::Event::attempt_copy_discarded,
+               {{"message", id.message_id}, {"endpoint", endpoint}, {"attempt", id.attempt}});
   if (!log::isEnabled(log::Event::attempt_finished))
     return;
   log::write(log::Event::attempt_finished, {{"message", id.message_id},
@@ -160,7 +158,7 @@
   outcome.already_finished = answer.how == ExchangeResult::answered &&
                              (answer.status == kDelivered || answer.status == kFinishedEarlier);
   outcome.retry_after = retryAfterOf(answer);
-  outcome.round_trip = std::max<Micros>(1, now - attempt.started_at);
+  outcome.round_trip = std::max<Micros>(1, now - attempt.started_at - answer.set_aside_for);
   outcome.limit_report = limitReportOf(answer);
   outcome.stale_connection =
       outcome.result == AttemptResult::reset && answer.reused && !answer.response_started;
@@ -180,7 +178,7 @@
 void HttpTransport::recordResponseTime(const Attempt& attempt, const HttpAnswer& answer) {
   const auto listed = addresses_.find(attempt.endpoint);
   const bool is_listed = listed != addresses_.end() && listed->second == attempt.address;
-  const bool is_own = answer.complete && !answer.repeats_earlier && answer.discarded_copies == 0;
+  const bool is_own = answer.complete && !answer.repeats_earlier && !answer.discarded_copy;
   if (is_listed && is_own && !attempt.is_repeat && answer.first_byte_delay >= 0)
     response_times_.record(attempt.endpoint, answer.first_byte_delay, answer.reused);
 }
