HTTP connection: request, result and serialisation in http_exchange

http_connection.cpp had grown to 437 lines with three jobs; the types and the serialisation of a request are a module of their own now. No behaviour changes.

--- /dev/null
+++ b/src/net/http_exchange.h
@@ -0,0 +1,70 @@
+// The request and the result of one exchange on an HttpConnection. No I/O.
+#pragma once
+
+#include <functional>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "grademux/sender.h"
+
+namespace grademux {
+
+constexpr Micros kNoLimit = std::numeric_limits<Micros>::max();
+
+struct HttpRequest {
+  std::string method, target;
+  std::vector<std::pair<std::string, std::string>> fields;
+  std::string body;
+  // Called right before the first byte is written, once the connection is established. False: nothing is
+  // written and the exchange ends as not_written. An empty function allows the write.
+  std::function<bool()> is_write_allowed;
+  // Time limit for writing the last byte, in microseconds from the call of exchange(). When the limit passes,
+  // the exchange ends as not_written.
+  Micros write_within = kNoLimit;
+  // On a reused connection, a response that begins sooner than this after the last byte was written and
+  // repeats an earlier response of the connection is likely a late copy of it. It is set aside until another
+  // response comes, which is then the request's own; it is taken only if none has begun when the exchange
+  // ends by its limit or by the end of the connection. A part of such a response confirms nothing.
+  // Microseconds; 0: every response is taken at once.
+  Micros earliest_response = 0;
+};
+
+enum class ExchangeResult {
+  answered,     // a response arrived that can be trusted: see HttpAnswer::complete
+  not_written,  // the connection was not made, or failed before the last byte was written
+  // The connection failed after the last byte, or the response is malformed: the request may have run.
+  broken,
+  timed_out  // the response did not start in time
+};
+
+// The name of the result, as it appears in the log.
+const char* nameOf(ExchangeResult result);
+
+struct HttpAnswer {
+  ExchangeResult how = ExchangeResult::not_written;
+  int status = 0;                 // of a response that can be trusted
+  bool response_started = false;  // at least one byte of the response arrived
+  // The response is complete and well-formed. If false on `answered`, only the status line with 200 is valid.
+  bool complete = false;
+  bool reused = false;  // the request used the connection of an earlier exchange
+  // The response repeats an earlier one of the same connection: it may be a late copy.
+  bool repeats_earlier = false;
+  bool discarded_copy = false;  // a likely late copy of an earlier response came, and was not taken
+  Micros set_aside_for = 0;     // how long this response was set aside before it was taken, in microseconds
+  // How long the reused connection had been idle when the last byte of the request was written, and how long
+  // after that the first byte of the response arrived, in microseconds; -1: neither happened.
+  Micros idle_time = -1, first_byte_delay = -1;
+  std::string status_line;  // as received, also if malformed; at most AnswerReader::kFirstLineLimit bytes
+  int head_status = 0;      // of a complete head, also if the body is truncated; 0: no complete head
+  std::vector<std::pair<std::string, std::string>> fields;  // of that head, with names in lower case
+  std::string body;                                         // of a complete response
+  // The value of a field, whose name is given in lower case; null if the head has no such field.
+  const std::string* field(const std::string& name) const;
+};
+
+// The bytes of a request to the host, with the fields that HTTP/1.1 requires.
+std::string serializeRequest(HttpRequest request, const std::string& host);
+
+}  // namespace grademux
