Log: what the memory of the process and the buffers of its clients are used for

Four hypotheses stood beside each other: unfinished requests, replies that clients do not read, buffers that keep the capacity of the longest request, and an allocator that gives nothing back.

memory.usage (debug, four times a second) shows pages, heap in use and free, and the buffers of all client connections by what they hold.

--- a/src/daemon/listener_set.cpp
+++ b/src/daemon/listener_set.cpp
@@ -135,4 +135,14 @@
   return sum;
 }
 
+BufferUsage ListenerSet::bufferUsage() const {
+  BufferUsage usage;
+  for (const Entry& entry : listeners_)
+    if (entry.listener)
+      usage += entry.listener->bufferUsage();
+  for (const auto& [deadline, listener] : draining_)
+    usage += listener->bufferUsage();
+  return usage;
+}
+
 }  // namespace grademux
--- a/src/daemon/listener_set.h
+++ b/src/daemon/listener_set.h
@@ -35,6 +35,8 @@
   void reacquireAddresses();
   /// Requests without an answer, including those of listeners that are being drained.
   std::size_t openRequests() const;
+  /// What the buffers of all connections have allocated, including listeners that are being drained.
+  BufferUsage bufferUsage() const;
   std::size_t count() const { return listeners_.size(); }
 
  private:
--- a/src/daemon/sender_components.cpp
+++ b/src/daemon/sender_components.cpp
@@ -130,6 +130,13 @@
   return (platform_listener ? platform_listener->openRequests() : 0) + listeners.openRequests();
 }
 
+BufferUsage SenderComponents::bufferUsage() const {
+  BufferUsage usage = listeners.bufferUsage();
+  if (platform_listener)
+    usage += platform_listener->bufferUsage();
+  return usage;
+}
+
 void SenderComponents::drainListeners(DrainReason reason) {
   if (platform_listener)
     platform_listener->drain(reason);
--- a/src/daemon/sender_components.h
+++ b/src/daemon/sender_components.h
@@ -40,6 +40,8 @@
   std::size_t partnerCount() const;
   /// Requests of clients, at all listeners, that have no answer yet.
   std::size_t openRequests() const;
+  /// What the buffers of client connections have allocated, at all listeners.
+  BufferUsage bufferUsage() const;
   /// Tells all listeners to send their clients away.
   void drainListeners(DrainReason reason);
 
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -14,6 +14,7 @@
 #include "config_reloader.h"
 #include "connection_budget.h"
 #include "graceful_shutdown.h"
+#include "memory_monitor.h"
 #include "notify.h"
 #include "outgoing_handover.h"
 #include "readiness.h"
@@ -54,6 +55,7 @@
   GracefulShutdown shutdown_;
   OutgoingHandover outgoing_handover_;
   ConfigReloader reloader_;
+  MemoryMonitor memory_monitor_;
   std::unique_ptr<operate::AdminServer> admin_server_;
 };
 
@@ -63,7 +65,8 @@
       components_(io, std::move(config), std::move(daemon_file)),
       shutdown_(components_, signals),
       outgoing_handover_(components_, shutdown_),
-      reloader_(components_) {
+      reloader_(components_),
+      memory_monitor_(io, [this] { return components_.bufferUsage(); }) {
   bindPlatformListener();
   bindAdminServer();
   openRecorder(recording);
@@ -161,6 +164,7 @@
     components_.platform_listener->start(*components_.admission, components_.state);
   components_.listeners.start(*components_.admission, components_.state);
   components_.state.setReady();
+  memory_monitor_.start();
   if (components_.fleet)
     components_.fleet->start(components_.handover_target ? "handover" : "start",
                              components_.journal->versions());
--- a/src/listener/http/http_listener.cpp
+++ b/src/listener/http/http_listener.cpp
@@ -57,6 +57,12 @@
   sessions_.forEach([now](HttpSession& session) { session.checkLimits(now); });
 }
 
+BufferUsage HttpListener::bufferUsage() const {
+  BufferUsage usage;
+  sessions_.forEach([&usage](const HttpSession& session) { usage += session.bufferUsage(); });
+  return usage;
+}
+
 void HttpListener::drain(DrainReason reason) {
   draining_since_ = monotonicNow();
   if (reason == DrainReason::removed) {
--- a/src/listener/http/http_listener.h
+++ b/src/listener/http/http_listener.h
@@ -30,6 +30,7 @@
   void drain(DrainReason reason) override;
   std::size_t openRequests() const override { return open_requests_; }
   std::size_t connectionCount() const override { return sessions_.size(); }
+  BufferUsage bufferUsage() const override;
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_.address(); }
   // The limits apply from the next request on.
   void setLimits(Limits limits) { limits_ = limits; }
--- a/src/listener/http/http_session.cpp
+++ b/src/listener/http/http_session.cpp
@@ -217,6 +217,14 @@
   return responses_.empty() && !writing_ && !parser_.isActive() && !graceful_close_.isStarted();
 }
 
+BufferUsage HttpSession::bufferUsage() const {
+  BufferUsage usage;
+  (parser_.isActive() ? usage.requests : usage.idle) += allocatedBytes(input_) + allocatedBytes(body_);
+  (writing_ ? usage.replies : usage.idle) += allocatedBytes(output_);
+  usage.replies += responses_.heldBytes();
+  return usage;
+}
+
 // Called at the end of each step that can change isIdle().
 void HttpSession::reportIdle() {
   if (!open_ || isIdle() == reported_idle_)
--- a/src/listener/http/http_session.h
+++ b/src/listener/http/http_session.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "../../core/message.h"
+#include "../buffer_usage.h"
 #include "../connection_close.h"
 #include "batch.h"
 #include "request_messages.h"
@@ -65,6 +66,7 @@
   void start() { read(); }
   // When the current request or, without a request, the idle time began; monotonic, microseconds.
   Micros since() const { return since_; }
+  BufferUsage bufferUsage() const;
   // Applies the time limits.
   void checkLimits(Micros now);
   // Called when clients are to disconnect: answers requests that wait for a final outcome. With `close_idle`,
--- a/src/listener/listener.h
+++ b/src/listener/listener.h
@@ -11,6 +11,7 @@
 
 #include "../core/message.h"
 #include "../operate/service_state.h"
+#include "buffer_usage.h"
 
 namespace grademux {
 
@@ -48,6 +49,8 @@
   virtual std::size_t openRequests() const = 0;
   // The number of connections, with or without an open request.
   virtual std::size_t connectionCount() const = 0;
+  // What the buffers of all connections have allocated.
+  virtual BufferUsage bufferUsage() const = 0;
   // The address that the listener is bound to.
   virtual boost::asio::ip::tcp::endpoint address() const = 0;
 };
--- a/src/listener/resp/resp_listener.cpp
+++ b/src/listener/resp/resp_listener.cpp
@@ -163,6 +163,12 @@
 
 // ---- draining
 
+BufferUsage RespListener::bufferUsage() const {
+  BufferUsage usage;
+  sessions_.forEach([&usage](const RespSession& session) { usage += session.bufferUsage(); });
+  return usage;
+}
+
 void RespListener::drain(DrainReason reason) {
   draining_since_ = monotonicNow();
   if (reason == DrainReason::standby) {
--- a/src/listener/resp/resp_listener.h
+++ b/src/listener/resp/resp_listener.h
@@ -44,6 +44,7 @@
   void finish();
   // The number of requests that have been read in part.
   std::size_t partialRequests() const;
+  BufferUsage bufferUsage() const override;
   boost::asio::ip::tcp::endpoint address() const override { return acceptor_.address(); }
   // Connections in excess of the new limits are closed when other connections are accepted.
   void setLimits(Limits limits) { limits_ = limits; }
--- a/src/listener/resp/session.cpp
+++ b/src/listener/resp/session.cpp
@@ -195,6 +195,13 @@
   return grademux::isInputEmpty(socket_);
 }
 
+BufferUsage RespSession::bufferUsage() const {
+  BufferUsage usage;
+  (phase_ == Phase::partial ? usage.requests : usage.idle) += allocatedBytes(input_);
+  (phase_ == Phase::writing ? usage.replies : usage.idle) += allocatedBytes(output_);
+  return usage;
+}
+
 void RespSession::closeGracefully() {
   if (!open_ || phase_ == Phase::closing)
     return;
--- a/src/listener/resp/session.h
+++ b/src/listener/resp/session.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "../../core/message.h"
+#include "../buffer_usage.h"
 #include "../connection_close.h"
 #include "commands.h"
 
@@ -64,6 +65,7 @@
   Micros since() const { return since_; }
   // Whether the client has submitted a message that was not answered with an error.
   bool hasSubmitted() const { return has_submitted_; }
+  BufferUsage bufferUsage() const;
   // Whether the kernel holds no unread input of the client.
   bool isInputEmpty() const;
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -55,6 +55,7 @@
   attempt_copy_discarded,
   message_finished,
   message_orphaned,
+  memory_usage,
   knowledge_read,
   knowledge_rejected,
   knowledge_damaged,
@@ -171,6 +172,12 @@
      "a message reached its final outcome"},
     {Event::message_orphaned, "message.orphaned", Level::warning, "message class destination outcome cause",
      "a message ended undelivered because its class or destination no longer exists"},
+    {Event::memory_usage, "memory.usage", Level::debug,
+     "resident anonymous heap_used heap_free requests replies idle_buffers",
+     "the memory of the process, four times a second, in bytes: all pages and those of no file, what the "
+     "program has "
+     "allocated and what the allocator keeps of what was freed, and the buffers of client connections: "
+     "unfinished requests, replies that were not read, and capacity that neither uses"},
     {Event::knowledge_read, "knowledge.read", Level::info, "records age_ms took_us",
      "the learned state of an earlier process was loaded; each record is used as far as it is still trusted"},
     {Event::knowledge_rejected, "knowledge.rejected", Level::warning, "cause",
