Client connections: buffers give back the capacity of the longest request and reply

Callers saw nothing; a test does. 600 clients that send one ECHO of 64 KiB, read the reply and stay took the process to 48,603,136 bytes of a limit of 33,554,432: each connection kept the buffer of its longest reply, and of its input while a byte was left in it.

The buffers are swapped with empty ones when the reply is written: clear() and an assignment of {} keep the capacity.

--- a/src/listener/http/http_session.cpp
+++ b/src/listener/http/http_session.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "../../core/clock.h"
+#include "../../core/release_buffer.h"
 #include "../listener.h"
 
 namespace grademux {
@@ -18,7 +19,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxIdleOutputBytes = 16384;  // output capacity that is kept between responses
 constexpr std::size_t kMaxHeldBytes = 65536;        // bytes of pending responses at which reading stops
 // A client receives an error or the close of its connection within 3 s. These are the limits on a request (of
 // a batch: a line) from its first byte on, and on a write without progress.
@@ -91,12 +91,9 @@
   }
   if (!open_)
     return;
-  input_.erase(0, parsed_);
+  input_.erase(0, last_request_read_ ? input_.size() : parsed_);
+  input_.shrink_to_fit();
   parsed_ = 0;
-  if (input_.empty())
-    input_.shrink_to_fit();
-  if (last_request_read_ && !graceful_close_.isStarted())
-    input_.clear();
   flush();
   if (open_ && !last_request_read_ && mayRead())
     waitToRead();
@@ -194,9 +191,7 @@
 
 void HttpSession::onWritten() {
   writing_ = false;
-  output_.clear();
-  if (output_.capacity() > kMaxIdleOutputBytes)
-    output_.shrink_to_fit();
+  releaseBuffer(output_);
   owner_.onRequestsClosed(std::exchange(output_responses_, 0));
   if (close_after_write_)
     return closeGracefully();
--- a/src/listener/http/http_session_requests.cpp
+++ b/src/listener/http/http_session_requests.cpp
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "../../core/clock.h"
+#include "../../core/release_buffer.h"
 #include "http_session.h"
 
 namespace grademux {
@@ -25,7 +26,7 @@
 
 // Makes the checks that need only the head. Returns false if the request was rejected.
 bool HttpSession::onHead() {
-  body_.clear();
+  releaseBuffer(body_);
   if (const auto problem = parser_.checkHead()) {
     rejectRequest(*problem);
     return false;
@@ -128,7 +129,7 @@
 
 void HttpSession::submit(const ResponsePointer& response, const std::string& id, const Fields& fields) {
   auto message = readMessage(id, fields, std::move(body_));
-  body_.clear();
+  releaseBuffer(body_);
   if (const auto* problem = std::get_if<Problem>(&message))
     return answer(response, problemResponse(*problem, id));
   if (owner_.rejectsNewRequests())
--- a/src/listener/resp/session.cpp
+++ b/src/listener/resp/session.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 
 #include "../../core/clock.h"
+#include "../../core/release_buffer.h"
 #include "../listener.h"
 #include "parser.h"
 #include "put_request.h"
@@ -89,8 +90,7 @@
       break;
   }
   input_.erase(0, used);
-  if (input_.empty())
-    input_.shrink_to_fit();
+  input_.shrink_to_fit();
   execute(words);
 }
 
@@ -164,6 +164,7 @@
 }
 
 void RespSession::onReplyWritten() {
+  releaseBuffer(output_);
   if (last_reply_)
     return closeGracefully();
   if (owner_.isDraining()) {
@@ -207,7 +208,7 @@
     return;
   throttle_timer_.cancel();
   graceful_close_.start(socket_, monotonicNow());
-  input_.clear();
+  releaseBuffer(input_);
   enter(Phase::closing);
   waitToRead();
 }
