Transport: response bodies are dropped as they come, only the head is needed

A request now says whether the body is needed; a digest over the dropped bytes tells copies of a response however the network cuts them, and the limit on the length holds. The request's buffer is freed once it is written: an assignment of {} had kept it.

AnswerReader.DropsABodyThatIsNotNeededAndKeepsItsDigest does not compile before the change.

--- a/src/net/answer_reader.cpp
+++ b/src/net/answer_reader.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "../core/message.h"
+#include "../core/release_buffer.h"
+
 namespace grademux {
 
 namespace http = boost::beast::http;
@@ -14,7 +17,8 @@
 constexpr int kMaxIdleSteps = 3;  // parser calls in a row that consume nothing; then it needs more bytes
 }  // namespace
 
-AnswerReader::AnswerReader(std::size_t body_limit) : body_limit_(body_limit) {
+AnswerReader::AnswerReader(std::size_t body_limit, bool keeps_body)
+    : body_limit_(body_limit), keeps_body_(keeps_body) {
   resetParser();
 }
 
@@ -27,6 +31,15 @@
   parser_->eager(false);
   parser_->body_limit(body_limit_);
   parser_->header_limit(kHeaderLimit);
+  dropped_body_digest_ = fnv1a(nullptr, 0);
+}
+
+// Also gives back what the parser has reserved for a body of the announced length.
+void AnswerReader::dropBody() {
+  std::string& body = parser_->get().body();
+  if (!body.empty())
+    dropped_body_digest_ = fnv1a(body.data(), body.size(), dropped_body_digest_);
+  releaseBuffer(body);
 }
 
 AnswerReader::State AnswerReader::parse(std::string& in) {
@@ -40,6 +53,8 @@
     if (used > 0)
       is_first_line_consumed_ = true;
     in.erase(0, used);
+    if (!keeps_body_)
+      dropBody();
     if (error == http::error::need_more)
       return in.size() > kHeaderLimit ? State::malformed : State::partial;
     if (error)
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/beast/http.hpp>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -17,8 +18,9 @@
   static constexpr std::size_t kFirstLineLimit = 64;  // bytes of the status line that are kept
   using Head = boost::beast::http::response<boost::beast::http::string_body>;
 
-  // `body_limit` is in bytes; a response with a longer body is malformed.
-  explicit AnswerReader(std::size_t body_limit);
+  // `body_limit` is in bytes; a response with a longer body is malformed. Without `keeps_body` the bytes of a
+  // body are dropped as they come, and head().body() is empty.
+  explicit AnswerReader(std::size_t body_limit, bool keeps_body = true);
 
   // Consumes bytes from `in`. Bytes that remain after a complete response do not belong to the response.
   State parse(std::string& in);
@@ -37,13 +39,18 @@
   bool isHeadComplete() const;
   // Requires isHeadComplete().
   const Head& head() const { return parser_->get(); }
+  // A digest of the part of the body that was dropped, in whatever pieces it came.
+  std::uint64_t droppedBodyDigest() const { return dropped_body_digest_; }
   bool keepAlive() const { return parser_->keep_alive(); }
 
  private:
   void resetParser();
+  void dropBody();
   bool isInterim() const { return parser_->get().result_int() / 100 == 1; }
 
   std::size_t body_limit_;
+  bool keeps_body_;
+  std::uint64_t dropped_body_digest_ = 0;
   int interim_responses_ = 0;
   std::string first_line_;  // the first bytes of the response; more than the line if the line is short
   bool is_first_line_consumed_ = false;  // by the parser
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <optional>
 
+#include "../core/release_buffer.h"
 #include "answer_reader.h"
 #include "response_history.h"
 
@@ -15,10 +16,11 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 16384;    // bytes in one read
-constexpr int kMaxReads = 4;                // reads in a row before other handlers run
-constexpr int kReceiveBuffer = 32768;       // bytes; kernel buffers count as this sender's memory
-constexpr Micros kResponseLimit = 400'000;  // microseconds from a response's first byte to its last
+constexpr std::size_t kReadSize = 16384;          // bytes in one read
+constexpr std::size_t kMaxIdleInputBytes = 1024;  // capacity that an idle connection keeps
+constexpr int kMaxReads = 4;                      // reads in a row before other handlers run
+constexpr int kReceiveBuffer = 32768;             // bytes; kernel buffers count as this sender's memory
+constexpr Micros kResponseLimit = 400'000;        // microseconds from a response's first byte to its last
 // The limit for the rest of a 429 response, in microseconds from its complete head on: the Retry-After time
 // runs from when the response was written, and no other attempt learns of it until the exchange is finished.
 constexpr Micros kRetryAfterResponseLimit = 30'000;
@@ -55,6 +57,7 @@
   // a handler that is already queued can't be cancelled.
   std::uint64_t exchange_number = 0, timer_number = 0;
   bool open = false, written = false, response_started = false, keep = false, reused = false;
+  bool keeps_body = true;               // the body of the response is needed
   bool within_response = false;         // a response has begun, other than a complete interim response
   bool retry_after_received = false;    // the complete head of a 429 has arrived
   std::uint64_t response_digest = 0;    // of the complete response
@@ -72,9 +75,10 @@
     write_deadline = now + std::chrono::microseconds(write_limit);
     is_write_allowed = std::move(request.is_write_allowed);
     earliest_response = request.earliest_response;
+    keeps_body = request.needs_response_body;
     out = serializeRequest(std::move(request), host);
     sent = 0;
-    reader.emplace(body_limit);
+    reader.emplace(body_limit, keeps_body);
     done = std::move(then);
     written = response_started = within_response = keep = retry_after_received = false;
     set_aside.reset();
@@ -172,7 +176,7 @@
     }
     written = true;
     written_at = Clock::now();
-    out = {};
+    releaseBuffer(out);
     setTimer(exchange, remaining(deadline));
     read(exchange);
   }
@@ -228,7 +232,7 @@
       }
       const bool complete = state == AnswerReader::State::complete;
       if (complete)
-        response_digest = responseDigest(reader->head());
+        response_digest = responseDigest(reader->head(), reader->droppedBodyDigest());
       if (!complete || !isLateCopy()) {
         keep = complete && reader->keepAlive() && in.empty() && !set_aside;
         end(state);
@@ -255,7 +259,7 @@
     set_aside = buildAnswer(ExchangeResult::answered, true);
     set_aside_at = Clock::now();
     response_started = within_response = retry_after_received = false;
-    reader.emplace(body_limit);
+    reader.emplace(body_limit, keeps_body);
     if (!in.empty()) {
       response_started = true;
       first_byte_at = Clock::now();
@@ -297,8 +301,8 @@
     if (keep)
       history.add(response_digest);
     reader.reset();
-    in.clear();
-    out = {};
+    clearInput();
+    releaseBuffer(out);
     idle_since = Clock::now();
     if (!keep)
       close();
@@ -347,9 +351,15 @@
     error_code ignored;
     open = false;
     socket.close(ignored);
-    in.clear();
+    clearInput();
     history.clear();
   }
+
+  void clearInput() {
+    in.clear();
+    if (in.capacity() > kMaxIdleInputBytes)
+      in.shrink_to_fit();
+  }
 };
 
 HttpConnection::HttpConnection(asio::io_context& io, tcp::endpoint peer, std::string host,
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -17,6 +17,8 @@
   std::string method, target;
   std::vector<std::pair<std::string, std::string>> fields;
   std::string body;
+  // Whether HttpAnswer::body is needed: if not, the body of the response is dropped as it comes.
+  bool needs_response_body = true;
   // Called right before the first byte is written, once the connection is established. False: nothing is
   // written and the exchange ends as not_written. An empty function allows the write.
   std::function<bool()> is_write_allowed;
@@ -59,7 +61,7 @@
   std::string status_line;  // as received, also if malformed; at most AnswerReader::kFirstLineLimit bytes
   int head_status = 0;      // of a complete head, also if the body is truncated; 0: no complete head
   std::vector<std::pair<std::string, std::string>> fields;  // of that head, with names in lower case
-  std::string body;                                         // of a complete response
+  std::string body;                                         // of a complete response, if needed
   // The value of a field, whose name is given in lower case; null if the head has no such field.
   const std::string* field(const std::string& name) const;
 };
--- a/src/net/response_history.cpp
+++ b/src/net/response_history.cpp
@@ -21,8 +21,8 @@
 
 }  // namespace
 
-std::uint64_t responseDigest(const HttpResponse& response) {
-  std::uint64_t digest = response.result_int();
+std::uint64_t responseDigest(const HttpResponse& response, std::uint64_t dropped_body_digest) {
+  std::uint64_t digest = response.result_int() + dropped_body_digest;
   for (const auto& field : response) {
     digest = extendDigest(digest, viewOf(field.name_string()));
     digest = extendDigest(digest, viewOf(field.value()));
--- a/src/net/response_history.h
+++ b/src/net/response_history.h
@@ -11,8 +11,8 @@
 
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
 
-// A digest of status, fields and body.
-std::uint64_t responseDigest(const HttpResponse& response);
+// A digest of status, fields and body. `dropped_body_digest`: of the part of the body that `response` lacks.
+std::uint64_t responseDigest(const HttpResponse& response, std::uint64_t dropped_body_digest = 0);
 
 class ResponseHistory {
  public:
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -91,6 +91,7 @@
   if (!request.version_stamp.empty())
     http.fields.emplace_back("X-Fleet-Version", request.version_stamp);
   http.body = message.body;
+  http.needs_response_body = false;  // the outcome depends on the head alone
   http.write_within = request.write_within;
   http.earliest_response = response_times_.earliestPlausible(request.endpoint);
   if (is_send_allowed_)
--- a/tests/net/answer_reader_test.cpp
+++ b/tests/net/answer_reader_test.cpp
@@ -91,5 +91,45 @@
         Row{"status_line_cut_200", "HTTP/1.1 200", {kPartial, false, "HTTP/1.1 200"}}),
     [](const auto& row) { return std::string(row.param.name); });
 
+// Guards against responses that take memory for bodies which nobody reads, one for each call that is out; the
+// digest tells copies of a response, however the network cuts them.
+TEST(AnswerReader, DropsABodyThatIsNotNeededAndKeepsItsDigest) {
+  const std::string body = std::string(kBodyLimit / 2, 'a') + std::string(kBodyLimit / 2, 'b');
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  std::vector<std::uint64_t> digests;
+  for (const std::size_t piece_size : {std::size_t{1000}, std::size_t{7777}, body.size()}) {
+    AnswerReader reader(kBodyLimit, false);
+    std::string buffer = head;
+    EXPECT_EQ(kPartial, reader.parse(buffer));
+    auto state = kPartial;
+    for (std::size_t at = 0; at < body.size(); at += piece_size) {
+      buffer += body.substr(at, piece_size);
+      state = reader.parse(buffer);
+      EXPECT_LT(reader.head().body().capacity(), piece_size);
+    }
+    EXPECT_EQ(kComplete, state);
+    digests.push_back(reader.droppedBodyDigest());
+  }
+  EXPECT_EQ(digests[0], digests[1]);
+  EXPECT_EQ(digests[0], digests[2]);
+  AnswerReader other(kBodyLimit, false);
+  std::string buffer = head + std::string(body.size(), 'a');
+  EXPECT_EQ(kComplete, other.parse(buffer));
+  EXPECT_NE(digests[0], other.droppedBodyDigest());
+}
+
+// Guards against a limit that no longer holds because the bytes are not kept.
+TEST(AnswerReader, RejectsATooLongBodyThatIsDropped) {
+  AnswerReader reader(kBodyLimit, false);
+  std::string buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  EXPECT_EQ(kPartial, reader.parse(buffer));
+  auto state = kPartial;
+  for (std::size_t sent = 0; sent <= kBodyLimit && state == kPartial; sent += 4096) {
+    buffer += "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    state = reader.parse(buffer);
+  }
+  EXPECT_EQ(kMalformed, state);
+}
+
 }  // namespace
 }  // namespace grademux
