RESP parser: a word that can't be valid is refused once its length is known

All words of a request might have 64 KiB, so a request that can't be valid was kept until its 2 s were over; each part that came was parsed into copies of all words before it. Only the last word, a body, may now have 64 KiB, all others 4 KiB (ids and keys have 256 bytes, lists of values a few names); a partial request gives its least length and no words.

RespParser.RejectsALongWordThatIsNotTheLastOnceItsLengthIsKnown is new.

--- a/src/listener/resp/parser.cpp
+++ b/src/listener/resp/parser.cpp
@@ -2,11 +2,13 @@
 #include "parser.h"
 
 #include <algorithm>
+#include <array>
 
 namespace grademux {
 namespace {
 
 constexpr std::size_t kMaxCountDigits = 8;
+constexpr std::size_t kLineEndBytes = 2;
 
 // Reads "<sign><digits>\r\n" at position `at` and advances `at` past the line.
 ParseStatus readCount(std::string_view in, std::size_t& at, char sign, std::size_t max, std::size_t& count,
@@ -103,8 +105,10 @@
     error = "Protocol error: too long";
     return ParseStatus::malformed;
   }
-  if (end == std::string_view::npos)
+  if (end == std::string_view::npos) {
+    used = in.size() + 1;
     return ParseStatus::partial;
+  }
   std::string_view line = in.substr(0, end);
   if (!line.empty() && line.back() == '\r')
     line.remove_suffix(1);
@@ -127,14 +131,10 @@
   return ParseStatus::complete;
 }
 
-}  // namespace
-
-ParseStatus parseRequest(std::string_view in, std::vector<std::string>& words, std::size_t& used,
-                         std::string& error, IsCommandName is_command) {
-  words.clear();
-  if (is_command && !in.empty() && in[0] != '*')
-    return parseInline(in, words, used, error, is_command);
+ParseStatus parseArray(std::string_view in, std::vector<std::string>& words, std::size_t& used,
+                       std::string& error) {
   std::size_t at = 0, count = 0;
+  used = in.size() + 1;
   ParseStatus status = readCount(in, at, '*', kMaxWords, count, error);
   if (status != ParseStatus::complete)
     return status;
@@ -142,28 +142,37 @@
     error = "Protocol error: empty request";
     return ParseStatus::malformed;
   }
-  std::size_t total = 0;
+  std::array<std::string_view, kMaxWords> parts;
   for (std::size_t i = 0; i < count; ++i) {
+    const std::size_t max_size = i + 1 == count ? kMaxWordBytes : kMaxLeadingWordBytes;
     std::size_t size = 0;
-    status = readCount(in, at, '$', kMaxWordBytes, size, error);
+    status = readCount(in, at, '$', max_size, size, error);
     if (status != ParseStatus::complete)
       return status;
-    total += size;
-    if (total > 2 * kMaxWordBytes) {
-      error = "Protocol error: too long";
-      return ParseStatus::malformed;
-    }
-    if (in.size() - at < size + 2)
+    if (in.size() - at < size + kLineEndBytes) {
+      used = at + size + kLineEndBytes;
       return ParseStatus::partial;
+    }
     if (in[at + size] != '\r' || in[at + size + 1] != '\n') {
       error = "Protocol error: a string without its end";
       return ParseStatus::malformed;
     }
-    words.emplace_back(in.substr(at, size));
-    at += size + 2;
+    parts[i] = in.substr(at, size);
+    at += size + kLineEndBytes;
   }
+  words.assign(parts.begin(), parts.begin() + static_cast<std::ptrdiff_t>(count));
   used = at;
   return ParseStatus::complete;
 }
 
+}  // namespace
+
+ParseStatus parseRequest(std::string_view in, std::vector<std::string>& words, std::size_t& used,
+                         std::string& error, IsCommandName is_command) {
+  words.clear();
+  if (is_command && !in.empty() && in[0] != '*')
+    return parseInline(in, words, used, error, is_command);
+  return parseArray(in, words, used, error);
+}
+
 }  // namespace grademux
--- a/tests/listener/resp_parser_test.cpp
+++ b/tests/listener/resp_parser_test.cpp
@@ -47,6 +47,30 @@
   EXPECT_LE(in.size(), kMaxRequestBytes);
 }
 
+// Guards against words that can't be valid and are kept until the request ends or its time is over.
+TEST(RespParser, RejectsALongWordThatIsNotTheLastOnceItsLengthIsKnown) {
+  const std::string too_long = "$" + std::to_string(kMaxLeadingWordBytes + 1) + "\r\n";
+  const std::string longest = "$" + std::to_string(kMaxLeadingWordBytes) + "\r\n";
+  std::vector<std::string> words;
+  std::size_t used = 0;
+  EXPECT_EQ(ParseStatus::malformed, parse("*2\r\n" + too_long, words, used));
+  EXPECT_EQ(ParseStatus::partial, parse("*2\r\n" + longest, words, used));
+  EXPECT_EQ(ParseStatus::partial, parse("*1\r\n" + too_long, words, used));
+}
+
+// Guards against buffers that grow by guesses: the length that is told says how much memory the request
+// needs.
+TEST(RespParser, TellsTheLeastLengthOfAPartialRequest) {
+  const std::string start = "*2\r\n$4\r\nECHO\r\n";
+  std::vector<std::string> words;
+  std::size_t used = 0;
+  ASSERT_EQ(ParseStatus::partial, parse(start + "$50000\r\nabc", words, used));
+  EXPECT_EQ(start.size() + std::string("$50000\r\n").size() + 50'000 + 2, used);
+  EXPECT_TRUE(words.empty());
+  ASSERT_EQ(ParseStatus::partial, parse(start, words, used));
+  EXPECT_GT(used, start.size());
+}
+
 bool isPutCommand(std::string_view word, bool complete) {
   const std::string name = "MSG.PUT";
   return !word.empty() && (complete ? word == name : name.compare(0, word.size(), word) == 0);
