Memory: limits.memory_mb bounds the process, clients that hold it up are cut first

The limit is divided (memory_budget.h); all client connections of both listeners share one part (ClientMemory). A connection reserves memory before it reads, the whole request once its length is known. When memory is short, clients for which the sender waits are cut, unfinished requests before unread replies, the largest and oldest first, with -BUSY or 503 and the orderly close. While one process replaces another each has half.

--- a/harness/relay.cpp
+++ b/harness/relay.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr std::size_t kClientMemoryBytes = 256u << 20;
+
 class Relay : public SubmissionHandler {
  public:
   Relay(boost::asio::io_context& io, const Config& c)
@@ -58,7 +60,8 @@
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
   const Config c = readConfig();
-  RespListener door(io, parseAddress(c.listen), {512, 512});
+  ClientMemory client_memory(kClientMemoryBytes);
+  RespListener door(io, parseAddress(c.listen), {512, 512}, client_memory);
   Relay relay(io, c);
   operate::ServiceState state;
   state.setReady();
--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -8,10 +8,14 @@
 #include "../decision/settings_check.h"
 #include "../net/address.h"
 #include "../operate/admin_server.h"
+#include "memory_budget.h"
 
 namespace grademux {
 namespace {
 
+constexpr double kDefaultMemoryMegabytes = 1024;
+constexpr double kBytesPerMegabyte = 1 << 20;
+
 // Parts of the file that take effect only at the next start.
 constexpr const char* kRestartKeys[] = {"name", "listen", "mgmt", "limits"};
 
@@ -93,11 +97,14 @@
   config.seed = readSeed(document);
   const json& limits = optionalObject(document, "limits");
   config.disk_bytes = static_cast<std::uint64_t>(std::max(0.0, number(limits, "disk_mb", 3)) * 1e6);
+  config.memory_bytes = static_cast<std::uint64_t>(
+      std::max(0.0, number(limits, "memory_mb", kDefaultMemoryMegabytes)) * kBytesPerMegabyte);
   config.max_descriptors = static_cast<std::int64_t>(number(limits, "sockets", 1024));
   if (!absent(document, "known"))
     config.configured_list = object(document, "known");
   config.settings = readSettings(object(document, "settings"));
   validate(config.settings);
+  checkMemoryLimit(config.memory_bytes, "limits.memory_mb");
   if (config.max_descriptors - reservedDescriptors(config) - config.settings.max_in_flight < 8)
     bad("limits.sockets is too small");
   config.document = document;
@@ -180,6 +187,7 @@
   fresh.state_folder = old.state_folder;
   fresh.seed = old.seed;
   fresh.disk_bytes = old.disk_bytes;
+  fresh.memory_bytes = old.memory_bytes;
   fresh.max_descriptors = old.max_descriptors;
 }
 
--- a/src/daemon/config.h
+++ b/src/daemon/config.h
@@ -22,6 +22,7 @@
   int inherited_socket = -1;         // listening socket for clients, passed to the process; -1: none
   std::uint64_t seed = 0;            // of random decisions
   std::uint64_t disk_bytes = 0;      // limit of the files in the state folder
+  std::uint64_t memory_bytes = 0;    // limit of the memory of the process
   std::int64_t max_descriptors = 0;  // limit of open file descriptors
   json configured_list;              // the list of endpoints that the file gives
   Settings settings;
--- a/src/daemon/listener_set.cpp
+++ b/src/daemon/listener_set.cpp
@@ -28,8 +28,8 @@
 
 std::unique_ptr<Listener> ListenerSet::createListener(const ListenerConfig& config) {
   if (config.kind == ListenerKind::resp)
-    return std::make_unique<RespListener>(io_, config.listen, respLimits(config));
-  return std::make_unique<HttpListener>(io_, config.listen, config.limits);
+    return std::make_unique<RespListener>(io_, config.listen, respLimits(config), memory_);
+  return std::make_unique<HttpListener>(io_, config.listen, config.limits, memory_);
 }
 
 void ListenerSet::bind(const std::vector<ListenerConfig>& configs) {
--- a/src/daemon/listener_set.h
+++ b/src/daemon/listener_set.h
@@ -11,10 +11,11 @@
 
 namespace grademux {
 
-/// Owns the listeners of the daemon file.
+/// Owns the listeners of the daemon file. `memory`, of which all listeners take theirs, outlives this object.
 class ListenerSet {
  public:
-  explicit ListenerSet(boost::asio::io_context& io) : io_(io), reap_timer_(io) {}
+  ListenerSet(boost::asio::io_context& io, ClientMemory& memory)
+      : io_(io), memory_(memory), reap_timer_(io) {}
 
   /// Binds all listeners; none accepts connections yet. Throws std::runtime_error with the address when one
   /// can't be bound.
@@ -48,6 +49,7 @@
   void scheduleReap();
 
   boost::asio::io_context& io_;
+  ClientMemory& memory_;
   boost::asio::steady_timer reap_timer_;
   std::vector<Entry> listeners_;
   // With the monotonic time at which each is closed at the latest.
--- a/src/daemon/outgoing_handover.cpp
+++ b/src/daemon/outgoing_handover.cpp
@@ -48,6 +48,7 @@
   if (components_.platform_listener)
     components_.platform_listener->pause();
   components_.listeners.releaseAddresses();
+  components_.shareClientMemory(true);
 }
 
 bool OutgoingHandover::isQuiescent() const {
@@ -85,6 +86,7 @@
   if (components_.platform_listener)
     components_.platform_listener->resume();
   components_.listeners.reacquireAddresses();
+  components_.shareClientMemory(false);
 }
 
 void OutgoingHandover::resumeDelivery() {
--- a/src/daemon/sender_components.cpp
+++ b/src/daemon/sender_components.cpp
@@ -3,10 +3,12 @@
 
 #include <utility>
 
+#include "../core/clock.h"
 #include "../membership/partner_names.h"
 #include "../net/address.h"
 #include "connection_budget.h"
 #include "journal_only_notifier.h"
+#include "memory_budget.h"
 
 namespace grademux {
 
@@ -19,7 +21,8 @@
 
 Agent platformAgent(SenderComponents& components) {
   const Config& config = components.config;
-  return {components.io, parseAddress(config.discovery), config.discovery};
+  return {components.io, parseAddress(config.discovery), config.discovery,
+          divideMemory(config).discovery_answer};
 }
 
 void createNotifier(SenderComponents& components) {
@@ -120,7 +123,8 @@
       daemon_file(std::move(initial_daemon_file)),
       worker(io_context),
       folder_lock(config.state_folder),
-      listeners(io_context) {}
+      client_memory(divideMemory(config).clients),
+      listeners(io_context, client_memory) {}
 
 std::size_t SenderComponents::partnerCount() const {
   return partner_sources ? partner_sources->table().partners() : 0;
@@ -137,6 +141,11 @@
   return usage;
 }
 
+void SenderComponents::shareClientMemory(bool shared) {
+  const std::uint64_t limit = divideMemory(config).clients;
+  client_memory.setLimit(shared ? limit / 2 : limit, monotonicNow());
+}
+
 void SenderComponents::drainListeners(DrainReason reason) {
   if (platform_listener)
     platform_listener->drain(reason);
@@ -145,9 +154,10 @@
 
 void createComponents(SenderComponents& components, const ComponentCallbacks& callbacks) {
   const Config& config = components.config;
+  checkRequestMemory(config, components.daemon_file);
   components.listeners.bind(components.daemon_file.listeners);
   // The journal is opened once every address is bound: a process that can't start leaves it unchanged.
-  components.journal = std::make_unique<Journal>(config.state_folder, config.disk_bytes);
+  components.journal = std::make_unique<Journal>(config.state_folder, divideMemory(config).journal);
   createNotifier(components);
   createTransport(components, callbacks);
   createEngine(components);
--- a/src/daemon/sender_components.h
+++ b/src/daemon/sender_components.h
@@ -42,6 +42,8 @@
   std::size_t openRequests() const;
   /// What the buffers of client connections have allocated, at all listeners.
   BufferUsage bufferUsage() const;
+  /// Sets the limit of the clients' memory: while two processes serve (`shared`), each has half.
+  void shareClientMemory(bool shared);
   /// Tells all listeners to send their clients away.
   void drainListeners(DrainReason reason);
 
@@ -65,6 +67,7 @@
   std::unique_ptr<Membership> membership;
   PartnerSources* partner_sources = nullptr;    // `membership` of a standalone program, else null
   EndpointWatcher* endpoint_watcher = nullptr;  // `membership` on a platform, else null
+  ClientMemory client_memory;                   // of all listeners
   ListenerSet listeners;
   std::unique_ptr<RespListener> platform_listener;  // null: standalone
   std::unique_ptr<handover::HandoverSource> handover_source;
--- a/src/daemon/service.cpp
+++ b/src/daemon/service.cpp
@@ -81,9 +81,9 @@
   const Config& config = components_.config;
   if (components_.isStandalone())
     return checkListenerBudget(config, components_.daemon_file);
-  components_.platform_listener =
-      std::make_unique<RespListener>(components_.io, parseAddress(config.listen),
-                                     clientLimits(config, components_.daemon_file), config.inherited_socket);
+  components_.platform_listener = std::make_unique<RespListener>(
+      components_.io, parseAddress(config.listen), clientLimits(config, components_.daemon_file),
+      components_.client_memory, config.inherited_socket);
 }
 
 void Service::bindAdminServer() {
@@ -123,7 +123,10 @@
   callbacks.on_attempt_finished = [this](const AttemptOutcome& outcome) {
     components_.attempts->onAttemptFinished(outcome);
   };
-  callbacks.on_peer_closed = [this] { components_.attempts->onPeerClosed(); };
+  callbacks.on_peer_closed = [this] {
+    components_.shareClientMemory(false);
+    components_.attempts->onPeerClosed();
+  };
   callbacks.on_failed = [this](const std::string& reason) {
     throw std::runtime_error(components_.config.state_folder +
                              ": another process has this folder and does not hand it over: " + reason);
@@ -143,8 +146,10 @@
 }
 
 void Service::recover(const handover::OwnershipReleased* released) {
-  if (released)
+  if (released) {
+    components_.shareClientMemory(true);
     components_.attempts->inherit(released->in_flight);
+  }
   components_.engine->recover(components_.config.configured_list, knowledge::TrustDecayPolicy(),
                               components_.learned_state->load(), components_.attempts->inherited());
   if (released && released->standby)
--- a/src/daemon/site.cpp
+++ b/src/daemon/site.cpp
@@ -9,6 +9,7 @@
 #include "../decision/settings_check.h"
 #include "../membership/partner_file.h"
 #include "../replay/stream_codec.h"
+#include "memory_budget.h"
 
 namespace grademux {
 
@@ -23,6 +24,7 @@
 
 constexpr Micros kMs = 1000, kSecond = 1'000'000, kDay = 24LL * 3600 * kSecond;
 constexpr std::int64_t kMiB = 1 << 20;
+constexpr std::int64_t kDefaultMemoryBytes = 1024 * kMiB, kMaxMemoryBytes = 1024LL * 1024 * kMiB;
 
 MessageClass readClass(TomlTable& table) {
   MessageClass message_class;
@@ -92,6 +94,8 @@
   settings.slow_start_time = table.duration("ramp", 11 * kSecond, 0, kDay);
   settings.cold_capacity_fraction = table.number("cold_share", 0.3, 0.001, 1);
   settings.overload_factor = table.number("overload_factor", 1.5, 0.001, 1000);
+  standalone.memory_bytes = static_cast<std::uint64_t>(
+      table.byteSize("memory", kDefaultMemoryBytes, kMinMemoryBytes, kMaxMemoryBytes));
   standalone.max_descriptors = table.integer("sockets", 1024, 64, 1'000'000);
   if (standalone.max_descriptors - kReservedDescriptors - settings.max_in_flight < 8)
     table.reportExpected("sockets",
@@ -169,6 +173,7 @@
   config.state_folder = folder.string();
   config.seed = std::random_device()() | static_cast<std::uint64_t>(std::random_device()()) << 32;
   config.disk_bytes = standalone.disk_bytes;
+  config.memory_bytes = standalone.memory_bytes;
   config.max_descriptors = standalone.max_descriptors;
   config.settings = standalone.settings;
   validate(config.settings);
@@ -185,6 +190,7 @@
     if (differs)
       names += (names.empty() ? "" : ", ") + std::string(name);
   };
+  add(old.memory_bytes != fresh.memory_bytes, "limits.memory");
   add(old.max_descriptors != fresh.max_descriptors, "limits.sockets");
   add(old.journal_folder != fresh.journal_folder || old.disk_bytes != fresh.disk_bytes, "journal");
   return names;
@@ -202,6 +208,7 @@
 calls = 64                     # attempts in flight, to all partners
 max_open = 20000               # messages without a final outcome
 max_attempts = 12              # for each message
+memory = "1 GiB"               # limit of the process; clients are cut off beyond it
 
 [[door]]
 kind = "http"                  # curl and any HTTP client: docs/operate/listeners.md
--- a/src/daemon/site.h
+++ b/src/daemon/site.h
@@ -16,6 +16,7 @@
   Settings settings;
   std::string journal_folder;        // as the file has it; a relative path begins at the daemon file's folder
   std::uint64_t disk_bytes = 0;      // limit of the files in the journal's folder
+  std::uint64_t memory_bytes = 0;    // limit of the memory of the process
   std::int64_t max_descriptors = 0;  // limit of open file descriptors
   SourcesSpec sources;
 };
--- a/src/discovery/discovery.cpp
+++ b/src/discovery/discovery.cpp
@@ -17,17 +17,20 @@
 constexpr Micros kNoticeTimeout = 150'000;
 constexpr Micros kNoticeRetryDelay = 50'000;
 static_assert(kNoticeTimeout + kNoticeRetryDelay <= 200'000, "the second attempt leaves 100 ms for itself");
-constexpr std::size_t kMaxListBytes = 64u << 20;       // some 400,000 endpoints
 constexpr std::size_t kMaxLoopParseBytes = 64u << 10;  // longer lists are parsed on the worker
 
 }  // namespace
 
-Agent::Agent(asio::io_context& io, tcp::endpoint peer, std::string host)
-    : io_(io), peer_(std::move(peer)), host_(std::move(host)), timer_(io) {}
+Agent::Agent(asio::io_context& io, tcp::endpoint peer, std::string host, std::size_t max_answer_bytes)
+    : io_(io),
+      peer_(std::move(peer)),
+      host_(std::move(host)),
+      max_answer_bytes_(max_answer_bytes),
+      timer_(io) {}
 
 void Agent::request(HttpRequest request, Micros limit, HttpConnection::Done done) {
   if (!connection_ || !connection_->isReusable())
-    connection_ = std::make_unique<HttpConnection>(io_, peer_, host_, kMaxListBytes);
+    connection_ = std::make_unique<HttpConnection>(io_, peer_, host_, max_answer_bytes_);
   connection_->exchange(std::move(request), PollSchedule::kConnectTimeout, limit, std::move(done));
 }
 
--- a/src/discovery/discovery.h
+++ b/src/discovery/discovery.h
@@ -20,7 +20,11 @@
 // One connection to the agent on this machine, replaced when it is no longer usable.
 class Agent {
  public:
-  Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host);
+  static constexpr std::size_t kMaxAnswerBytes = 64u << 20;  // a list of some 400,000 endpoints
+
+  // An answer with a body of more than `max_answer_bytes` is malformed.
+  Agent(boost::asio::io_context& io, tcp::endpoint peer, std::string host,
+        std::size_t max_answer_bytes = kMaxAnswerBytes);
   void request(HttpRequest request, Micros limit, HttpConnection::Done done);
   // The same on a new connection, where a late copy of an earlier response can't arrive.
   void requestOnNewConnection(HttpRequest request, Micros limit, HttpConnection::Done done);
@@ -34,6 +38,7 @@
   std::uint64_t generation_ = 0;  // retries of an earlier generation are ignored
   tcp::endpoint peer_;
   std::string host_;
+  std::size_t max_answer_bytes_;
   std::unique_ptr<HttpConnection> connection_;
   boost::asio::steady_timer timer_;
 };
--- a/src/listener/http/batch.cpp
+++ b/src/listener/http/batch.cpp
@@ -4,6 +4,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "../../core/release_buffer.h"
+
 namespace grademux::http_listener {
 
 namespace {
@@ -28,7 +30,7 @@
       line_since_ = now;
     if (line_.size() + part.size() > max_line_bytes) {
       too_long_ = true;
-      line_.clear();
+      releaseBuffer(line_);
     }
     if (!too_long_)
       line_ += part;
@@ -51,8 +53,15 @@
   input_complete_ = true;
 }
 
+std::size_t Batch::memoryBytes() const {
+  std::size_t bytes = line_.capacity();
+  for (const auto& result : results_)
+    bytes += sizeof(BatchResult) + result->text.capacity() + result->request_bytes;
+  return bytes;
+}
+
 void Batch::abortInput() {
-  line_.clear();
+  releaseBuffer(line_);
   input_complete_ = true;
 }
 
--- a/src/listener/http/batch.h
+++ b/src/listener/http/batch.h
@@ -16,6 +16,7 @@
 struct BatchResult {
   std::string text;  // one line of the response
   bool complete = false;
+  std::size_t request_bytes = 0;  // of the line, until the engine has answered
 };
 
 class Batch {
@@ -47,6 +48,8 @@
   // Moves complete results, in order, into the response; completes the response after the last one.
   void releaseResults();
   const ResponseQueue::Pointer& response() const { return response_; }
+  // The memory of the batch without its response: the current line, and lines without a released result.
+  std::size_t memoryBytes() const;
 
   // Whether a line has been read in part.
   bool isInLine() const { return !line_.empty() || too_long_; }
--- a/src/listener/http/http_listener.cpp
+++ b/src/listener/http/http_listener.cpp
@@ -16,9 +16,11 @@
 
 }  // namespace
 
-HttpListener::HttpListener(asio::io_context& io, const tcp::endpoint& listen, Limits limits)
+HttpListener::HttpListener(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
+                           ClientMemory& memory)
     : acceptor_(io, *this, ConnectionAcceptor::RoomCheck::before_accept),
       limits_(limits),
+      memory_(memory),
       read_buffer_(kReadBufferBytes) {
   acceptor_.bind(listen);
   acceptor_.setSendBufferSize(kSendBufferBytes);
@@ -43,18 +45,20 @@
 
 // At the limit, closes the connection that has been idle longest, if it has been idle for kIdleCloseable.
 bool HttpListener::makeRoom() {
-  if (sessions_.size() < limits_.connections)
+  const bool has_memory = memory_.hasRoomForConnection(HttpSession::kConnectionBytes);
+  if (sessions_.size() < limits_.connections && has_memory)
     return true;
   const std::shared_ptr<HttpSession> longest = sessions_.oldest(kIdle);
   if (!longest || monotonicNow() - longest->since() < kIdleCloseable)
     return false;
   longest->close();
-  return true;
+  return memory_.hasRoomForConnection(HttpSession::kConnectionBytes);
 }
 
 void HttpListener::sweep() {
   const Micros now = monotonicNow();
   sessions_.forEach([now](HttpSession& session) { session.checkLimits(now); });
+  memory_.relieve(now);
 }
 
 BufferUsage HttpListener::bufferUsage() const {
--- a/src/listener/http/http_listener.h
+++ b/src/listener/http/http_listener.h
@@ -20,8 +20,10 @@
  public:
   using Limits = HttpLimits;
 
-  // Binds the address `listen`; throws std::runtime_error if it can't be bound.
-  HttpListener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits);
+  // Binds the address `listen`; throws std::runtime_error if it can't be bound. `memory` outlives the
+  // listener.
+  HttpListener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
+               ClientMemory& memory);
   ~HttpListener() override;
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -44,6 +46,7 @@
   Micros drainingSince() const override { return draining_since_; }
   bool rejectsNewRequests() const override { return removed_ || state_->isStopping(); }
   std::vector<char>& readBuffer() override { return read_buffer_; }
+  ClientMemory& memory() override { return memory_; }
   void onRequestOpened() override { ++open_requests_; }
   void onRequestsClosed(std::size_t count) override { open_requests_ -= count; }
   void onIdleChanged(const HttpSession& session, bool idle) override {
@@ -57,6 +60,7 @@
 
   ConnectionAcceptor acceptor_;
   Limits limits_;
+  ClientMemory& memory_;
   SubmissionHandler* handler_ = nullptr;
   const operate::ServiceState* state_ = nullptr;
   Micros draining_since_ = 0;  // time of the last call of drain(), monotonic
--- a/src/listener/http/http_session.cpp
+++ b/src/listener/http/http_session.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-constexpr std::size_t kMaxHeldBytes = 65536;        // bytes of pending responses at which reading stops
+constexpr std::size_t kMaxHeldBytes = 65536;   // bytes of pending responses at which reading stops
+constexpr std::size_t kReadAheadBytes = 2048;  // the most that is read outside the body of a request
 // A client receives an error or the close of its connection within 3 s. These are the limits on a request (of
 // a batch: a line) from its first byte on, and on a write without progress.
 constexpr Micros kRequestLimit = 2'000'000, kWriteLimit = 2'000'000;
@@ -31,7 +32,11 @@
 }  // namespace
 
 HttpSession::HttpSession(HttpSessionOwner& owner, tcp::socket socket, std::int64_t number)
-    : owner_(owner), socket_(std::move(socket)), number_(number), since_(monotonicNow()) {}
+    : owner_(owner),
+      socket_(std::move(socket)),
+      number_(number),
+      since_(monotonicNow()),
+      memory_(owner.memory(), *this, kConnectionBytes) {}
 
 // ---- reading
 
@@ -55,19 +60,50 @@
   });
 }
 
+bool HttpSession::isReadingBody() const {
+  return !batch_ && parser_.isActive() && parser_.isHeadComplete();
+}
+
+// The part of the announced body that has not been read.
+std::size_t HttpSession::missingBodyBytes() const {
+  if (!isReadingBody())
+    return 0;
+  return parser_.contentLength() - std::min<std::size_t>(parser_.contentLength(), body_.size());
+}
+
+// Reads what has arrived into the owner's buffer, as far as there is memory for it. Returns 0 without an
+// error if there is none: onMemoryAvailable() continues.
+std::size_t HttpSession::readAvailable(error_code& error) {
+  std::vector<char>& buffer = owner_.readBuffer();
+  if (graceful_close_.isStarted())
+    return socket_.read_some(asio::buffer(buffer), error);
+  const std::size_t missing = missingBodyBytes();
+  const std::size_t max_size = std::min(std::max(missing, kReadAheadBytes), buffer.size());
+  const std::size_t body_capacity = isReadingBody() ? body_.size() + missing : 0;
+  const std::size_t body_growth = body_capacity - std::min(body_capacity, body_.capacity());
+  if (!memory_.reserve(memoryBytes() + max_size + body_growth, monotonicNow()))
+    return 0;
+  if (body_growth > 0)
+    body_.reserve(body_capacity);
+  return socket_.read_some(asio::buffer(buffer.data(), max_size), error);
+}
+
 void HttpSession::read() {
   error_code error;
-  std::vector<char>& buffer = owner_.readBuffer();
-  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block || error == asio::error::try_again)
+  const std::size_t size = readAvailable(error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    reportMemory();
     return waitToRead();
+  }
   if (error == asio::error::eof)
     return onEndOfInput();
   if (error)
     return close();
   if (graceful_close_.isStarted())
     return graceful_close_.discard(size) ? close() : waitToRead();
-  input_.append(buffer.data(), size);
+  if (size == 0)
+    return;
+  input_.append(owner_.readBuffer().data(), size);
   processInput();
 }
 
@@ -98,6 +134,44 @@
   if (open_ && !last_request_read_ && mayRead())
     waitToRead();
   reportIdle();
+  reportMemory();
+}
+
+// ---- memory
+
+void HttpSession::onMemoryAvailable() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->open_ && !self->graceful_close_.isStarted() && !self->last_request_read_ && self->mayRead())
+      self->read();
+  });
+}
+
+std::size_t HttpSession::memoryBytes() const {
+  return allocatedBytes(input_) + allocatedBytes(body_) + allocatedBytes(output_) + parser_.headBytes() +
+         responses_.memoryBytes() + (batch_ ? batch_->memoryBytes() : 0);
+}
+
+// Tells the account what the buffers take, and whom the session waits for.
+void HttpSession::reportMemory() {
+  if (!open_)
+    return;
+  memory_.set(memoryBytes(), monotonicNow());
+  if (writing_)
+    memory_.waitForClient(ClientWait::read_reply, write_since_);
+  else if (parser_.isActive() && !last_request_read_ && mayRead())
+    memory_.waitForClient(ClientWait::send_request, batch_ ? std::max(since_, batch_->lineSince()) : since_);
+}
+
+bool HttpSession::isWaitingForClient() const {
+  return writing_ || isInputEmpty(socket_);
+}
+
+void HttpSession::shedMemory() {
+  if (writing_)
+    return close();
+  if (!parser_.isActive() && !batch_)
+    return closeGracefully();
+  refuseRest({503, "overloaded", "no memory is left for requests that have not come to their end"});
 }
 
 // Schedules processInput() on the loop, for callers that may run within processInput().
@@ -172,6 +246,7 @@
   close_after_write_ = close_after_write_ || ready.closes_connection;
   writing_ = true;
   write_since_ = monotonicNow();
+  reportMemory();
   write(0);
 }
 
@@ -290,8 +365,17 @@
   const bool between_lines = batch_ && !batch_->isInLine() && parser_.isHeadComplete();
   if (between_lines && now - batch_->lineSince() < owner_.limits().idle_timeout)
     return;
+  refuseRest({408, "too-slow", "2 s from the first byte to the last are allowed"});
+}
+
+// Answers a request that has been read in part; the connection is closed after the response.
+void HttpSession::refuseRest(const Problem& problem) {
   socket_.cancel();
-  rejectRequest({408, "too-slow", "2 s from the first byte to the last are allowed"});
+  releaseBuffer(input_);
+  parsed_ = 0;
+  releaseBuffer(body_);
+  rejectRequest(problem);
+  reportMemory();
 }
 
 void HttpSession::drain(bool close_idle) {
@@ -317,9 +401,11 @@
   if (graceful_close_.isStarted())
     return;
   graceful_close_.start(socket_, monotonicNow());
-  input_.clear();
+  releaseBuffer(input_);
+  releaseBuffer(body_);
   parsed_ = 0;
   reportIdle();
+  reportMemory();
   waitToRead();
 }
 
@@ -328,6 +414,7 @@
     return;
   const auto self = shared_from_this();  // the owner may hold the last other reference
   open_ = false;
+  memory_.close();
   owner_.onRequestsClosed(responses_.size() + output_responses_);
   responses_.clear();
   output_responses_ = 0;
--- a/src/listener/http/http_session.h
+++ b/src/listener/http/http_session.h
@@ -14,6 +14,7 @@
 
 #include "../../core/message.h"
 #include "../buffer_usage.h"
+#include "../client_memory.h"
 #include "../connection_close.h"
 #include "batch.h"
 #include "request_messages.h"
@@ -48,6 +49,8 @@
   // The buffer that all sessions read into, before each keeps the bytes that it needs: an idle connection
   // holds no buffer.
   virtual std::vector<char>& readBuffer() = 0;
+  // The memory that all sessions share; outlives each open session.
+  virtual ClientMemory& memory() = 0;
   virtual void onRequestOpened() = 0;
   virtual void onRequestsClosed(std::size_t count) = 0;
   // Called when the session becomes idle (`idle`) or stops being idle.
@@ -56,8 +59,11 @@
   virtual void onSessionClosed(const HttpSession& session) = 0;
 };
 
-class HttpSession : public std::enable_shared_from_this<HttpSession> {
+class HttpSession : public std::enable_shared_from_this<HttpSession>, private MemoryHolder {
  public:
+  // The memory of a connection without its buffers: the session, its place in the table, its descriptor.
+  static constexpr std::size_t kConnectionBytes = 4096;
+
   // `number`: identifies the connection within the listener; spreads the closes of idle connections in a
   // drain.
   HttpSession(HttpSessionOwner& owner, boost::asio::ip::tcp::socket socket, std::int64_t number);
@@ -78,9 +84,19 @@
  private:
   using ResponsePointer = http_listener::ResponseQueue::Pointer;
 
+  // MemoryHolder
+  void onMemoryAvailable() override;
+  bool isWaitingForClient() const override;
+  void shedMemory() override;
+  void reportMemory();
+  std::size_t memoryBytes() const;
+
   // Reading.
   void waitToRead();
   void read();
+  std::size_t readAvailable(boost::system::error_code& error);
+  bool isReadingBody() const;
+  std::size_t missingBodyBytes() const;
   void onEndOfInput();
   void processInput();
   void processInputLater();
@@ -122,6 +138,7 @@
   void checkOutcomeWaits(Micros now);
   bool checkDraining(Micros now);
   void checkRequestLimit(Micros now);
+  void refuseRest(const http_listener::Problem& problem);
   void closeIfIdle();
   void closeGracefully();
 
@@ -145,6 +162,7 @@
   Micros write_since_ = 0;            // time of the last progress of the write
   int consecutive_client_errors_ = 0;
 
+  ClientMemory::Account memory_;
   GracefulClose graceful_close_;
   bool open_ = true;
   bool input_ended_ = false;        // the client has closed its sending side
--- a/src/listener/http/http_session_requests.cpp
+++ b/src/listener/http/http_session_requests.cpp
@@ -20,6 +20,7 @@
 void complete(BatchResult& result, const std::string& id, const Response& response) {
   result.text = batchResponseLine(id, response);
   result.complete = true;
+  result.request_bytes = 0;
 }
 
 }  // namespace
@@ -128,6 +129,7 @@
 }
 
 void HttpSession::submit(const ResponsePointer& response, const std::string& id, const Fields& fields) {
+  response->request_bytes = body_.size();
   auto message = readMessage(id, fields, std::move(body_));
   releaseBuffer(body_);
   if (const auto* problem = std::get_if<Problem>(&message))
@@ -141,6 +143,7 @@
                           [self = shared_from_this(), response, id, wait](const SubmissionResult& result) {
                             if (!self->open_)
                               return;
+                            response->request_bytes = 0;
                             const bool accepted = result.kind == SubmissionResult::Kind::accepted;
                             if (!accepted || result.final_outcome || wait == 0 || self->owner_.isDraining())
                               return self->answer(response, submissionResponse(id, result));
@@ -218,6 +221,8 @@
     complete(*result, id, submissionResponse(id, submission_result));
     self->releaseBatchResults(*batch);
   });
+  if (!result->complete)
+    result->request_bytes = line.text.size();
 }
 
 void HttpSession::releaseBatchResults(Batch& batch) {
--- a/src/listener/http/request_parser.cpp
+++ b/src/listener/http/request_parser.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t kMaxHeaderBytes = 16384;
+constexpr std::size_t kParserBytes = 1024;  // memory of a parser without the fields
 
 std::string toLower(boost::beast::string_view text) {
   std::string lower(text.data(), text.size());
@@ -29,6 +30,7 @@
   // The session applies its own limits to bodies. Boost 1.74 treats a limit of 0 as "no body allowed".
   parser_->body_limit(UINT64_MAX / 2);
   head_complete_ = false;
+  head_bytes_ = kParserBytes;
 }
 
 RequestParser::Step RequestParser::parse(std::string_view input) {
@@ -52,6 +54,8 @@
     step.problem = Problem{431, "header-too-long", "a header, or the frame of a chunk, may have 16384 bytes"};
     return step;
   }
+  if (!head_complete_)
+    head_bytes_ += step.consumed;
   if (head_complete_)
     step.body = {body_buffer_.data(), body_buffer_.size() - parser_->get().body().size};
   else
--- a/src/listener/http/request_parser.h
+++ b/src/listener/http/request_parser.h
@@ -54,13 +54,17 @@
   bool keepsAlive() const { return parser_->keep_alive(); }
   // The announced length of the body in bytes; 0 if there is none.
   std::uint64_t contentLength() const;
+  // The memory of the head in bytes, about; 0 before it is complete. Also allowed without an active request.
+  std::size_t headBytes() const { return isActive() && head_complete_ ? head_bytes_ : 0; }
 
  private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
   std::optional<Parser> parser_;
-  std::array<char, 4096> body_buffer_{};
+  // Small, since each line of a batch may have a result that is longer than the line.
+  std::array<char, 1024> body_buffer_{};
   bool head_complete_ = false;
+  std::size_t head_bytes_ = 0;
 };
 
 }  // namespace grademux::http_listener
--- a/src/listener/http/response_messages.cpp
+++ b/src/listener/http/response_messages.cpp
@@ -22,6 +22,7 @@
       {"body-too-long", "The body is too long"},
       {"header-too-long", "The header is too long"},
       {"too-slow", "The request did not come to its end in time"},
+      {"overloaded", "No memory is left for requests that have not come to their end"},
       {"unknown-class", "There is no such class"},
       {"missing-key", "The class asks for an idempotency key"},
       {"unknown-destination", "There is no such destination"},
--- a/src/listener/http/response_queue.cpp
+++ b/src/listener/http/response_queue.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "../../core/release_buffer.h"
+
 namespace grademux::http_listener {
 
 ResponseQueue::Pointer ResponseQueue::append() {
@@ -17,6 +19,13 @@
   return bytes;
 }
 
+std::size_t ResponseQueue::memoryBytes() const {
+  std::size_t bytes = 0;
+  for (const Pointer& response : responses_)
+    bytes += sizeof(PendingResponse) + response->bytes.capacity() + response->request_bytes;
+  return bytes;
+}
+
 void ResponseQueue::closeAfterLast() {
   for (const Pointer& response : responses_)
     response->closes_connection = isLast(response);
@@ -31,7 +40,7 @@
       render(first, make());
     }
     ready.bytes += first->bytes;
-    first->bytes.clear();
+    releaseBuffer(first->bytes);
     if (!first->complete)
       break;
     ready.closes_connection = first->closes_connection;
--- a/src/listener/http/response_queue.h
+++ b/src/listener/http/response_queue.h
@@ -24,6 +24,7 @@
   // the message.
   Micros wait_until = 0;
   std::string message_id;
+  std::size_t request_bytes = 0;  // of the request that the engine has not answered
 };
 
 class ResponseQueue {
@@ -45,6 +46,8 @@
   std::size_t size() const { return responses_.size(); }
   // Number of bytes that wait in the queue.
   std::size_t heldBytes() const;
+  // The memory of the queue: the bytes that wait, and the requests that the engine has not answered.
+  std::size_t memoryBytes() const;
   bool isLast(const Pointer& response) const { return response == responses_.back(); }
   const Pointer& last() const { return responses_.back(); }
   // Called when no request follows: the connection is closed after the last response in the queue.
--- a/src/listener/resp/commands.cpp
+++ b/src/listener/resp/commands.cpp
@@ -23,7 +23,10 @@
   return ":" + std::to_string(value) + "\r\n";
 }
 std::string bulkString(const std::string& text) {
-  return "$" + std::to_string(text.size()) + "\r\n" + text + "\r\n";
+  const std::string head = "$" + std::to_string(text.size()) + "\r\n";
+  std::string bulk;
+  bulk.reserve(head.size() + text.size() + 2);  // appending would take up to twice as much
+  return bulk.append(head).append(text).append("\r\n");
 }
 // `items` are encoded replies.
 std::string array(const std::vector<std::string>& items) {
--- a/src/listener/resp/resp_listener.cpp
+++ b/src/listener/resp/resp_listener.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t kReadBufferBytes = 16384;
+constexpr int kSendBufferBytes = 32768;     // the kernel's send buffer of each connection
 constexpr std::size_t kCrowdedDivisor = 8;  // the table is crowded when more than 1/8 of it is in use
 // Places of the table that are reserved for closing connections: 16, and at most 1/16 of the table.
 constexpr std::size_t kClosingReserve = 16, kClosingReserveDivisor = 16;
@@ -36,15 +37,18 @@
 
 }  // namespace
 
-RespListener::RespListener(asio::io_context& io, const tcp::endpoint& listen, Limits limits, int passed)
+RespListener::RespListener(asio::io_context& io, const tcp::endpoint& listen, Limits limits,
+                           ClientMemory& memory, int passed)
     : io_(io),
       acceptor_(io, *this, ConnectionAcceptor::RoomCheck::after_accept),
       limits_(limits),
+      memory_(memory),
       read_buffer_(kReadBufferBytes) {
   if (passed >= 0)
     acceptor_.adopt(passed, listen);
   else
     acceptor_.bind(listen);
+  acceptor_.setSendBufferSize(kSendBufferBytes);
 }
 
 RespListener::~RespListener() {
@@ -99,7 +103,15 @@
 // While the table is crowded, idle connections are closed sooner: otherwise, clients that open a connection
 // for each request and keep it open would run out of their own descriptors, too.
 bool RespListener::isCrowded() const {
-  return kCrowdedDivisor * sessions_.size() > limits_.all;
+  return kCrowdedDivisor * sessions_.size() > maxConnections();
+}
+
+std::size_t RespListener::maxConnections() const {
+  return std::min(limits_.all, memory_.connectionLimit() / RespSession::kConnectionBytes);
+}
+
+bool RespListener::hasRoom() const {
+  return sessions_.size() < limits_.all && memory_.hasRoomForConnection(RespSession::kConnectionBytes);
 }
 
 // The session whose close costs its client least; null if each session is in use. The order, and within each
@@ -130,12 +142,12 @@
 // client when the table is full. This keeps idle, silent and failing clients from blocking the backlog, and
 // leaves descriptors for the connections to endpoints.
 bool RespListener::makeRoom() {
-  const std::size_t reserve = std::min(kClosingReserve, limits_.all / kClosingReserveDivisor);
+  const std::size_t reserve = std::min(kClosingReserve, maxConnections() / kClosingReserveDivisor);
   const std::size_t serving = sessions_.size() - countIn(Phase::closing);
-  if (reserve > 0 && serving + reserve >= limits_.all)
+  if (reserve > 0 && serving + reserve >= maxConnections())
     if (const SessionPtr least = leastUsed(false))
       least->closeGracefully();
-  while (sessions_.size() >= limits_.all) {
+  while (!hasRoom()) {
     const SessionPtr least = leastUsed(true);
     if (!least)
       return false;
@@ -159,6 +171,7 @@
 void RespListener::sweep() {
   const Micros now = monotonicNow();
   sessions_.forEach([now](RespSession& session) { session.checkLimit(now); });
+  memory_.relieve(now);
 }
 
 // ---- draining
--- a/src/listener/resp/resp_listener.h
+++ b/src/listener/resp/resp_listener.h
@@ -22,10 +22,11 @@
     std::size_t all = 1, submitters = 1;
   };
 
-  // Binds the address `listen`; throws std::runtime_error if it can't be bound. `passed`: the descriptor of
-  // an inherited socket that listens on this address and is adopted instead; -1 for none.
+  // Binds the address `listen`; throws std::runtime_error if it can't be bound. `memory` outlives the
+  // listener. `passed`: the descriptor of an inherited socket that listens on this address and is adopted
+  // instead; -1 for none.
   RespListener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& listen, Limits limits,
-               int passed = -1);
+               ClientMemory& memory, int passed = -1);
   ~RespListener() override;
   RespListener(const RespListener&) = delete;
   RespListener& operator=(const RespListener&) = delete;
@@ -60,6 +61,7 @@
   Micros drainingSince() const override { return draining_since_; }
   bool isCrowded() const override;
   std::vector<char>& readBuffer() override { return read_buffer_; }
+  ClientMemory& memory() override { return memory_; }
   void onPhaseEntered(const RespSession& session) override;
   void onSessionClosed(const RespSession& session) override { sessions_.remove(session); }
 
@@ -67,6 +69,8 @@
   void serve(boost::asio::ip::tcp::socket socket) override;
   void sweep() override;
 
+  std::size_t maxConnections() const;
+  bool hasRoom() const;
   SessionPtr leastUsed(bool include_closing) const;
   std::size_t countIn(RespSession::Phase phase) const;
   std::size_t countSubmitters() const;
@@ -76,6 +80,7 @@
   boost::asio::io_context& io_;
   ConnectionAcceptor acceptor_;
   Limits limits_;
+  ClientMemory& memory_;
   SubmissionHandler* handler_ = nullptr;
   const operate::ServiceState* state_ = nullptr;
   Sessions sessions_;
--- a/src/listener/resp/session.cpp
+++ b/src/listener/resp/session.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 
@@ -27,11 +28,19 @@
 constexpr Micros kIdleLimit = 300'000'000;       // while the table is not crowded
 constexpr int kMaxErrors = 12;                   // errors in a row after which the connection is closed
 constexpr Micros kThrottle = 10'000, kMaxThrottle = 320'000;
+// The most that is read before the length of the request is known, and that may be left behind it.
+constexpr std::size_t kReadAheadBytes = 2048;
+// The client may send the request again.
+constexpr char kShedReply[] = "-BUSY\r\n";
 
 }  // namespace
 
 RespSession::RespSession(asio::io_context& io, SessionOwner& owner, tcp::socket socket, std::int64_t number)
-    : owner_(owner), socket_(std::move(socket)), throttle_timer_(io), since_(monotonicNow()) {
+    : owner_(owner),
+      socket_(std::move(socket)),
+      throttle_timer_(io),
+      memory_(owner.memory(), *this, kConnectionBytes),
+      since_(monotonicNow()) {
   client_.id = number;
 }
 
@@ -59,21 +68,67 @@
   });
 }
 
+std::size_t RespSession::nextReadSize() const {
+  const std::size_t missing = expected_bytes_ - std::min(expected_bytes_, input_.size());
+  return std::min(std::max(missing, kReadAheadBytes), owner_.readBuffer().size());
+}
+
+// Without memory for the next bytes they stay in the kernel: onMemoryAvailable() continues.
 void RespSession::read() {
   error_code error;
   std::vector<char>& buffer = owner_.readBuffer();
-  const std::size_t size = socket_.read_some(asio::buffer(buffer), error);
-  if (error == asio::error::would_block || error == asio::error::try_again)
+  if (phase_ == Phase::closing) {
+    const std::size_t discarded = socket_.read_some(asio::buffer(buffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again)
+      return waitToRead();
+    return error || graceful_close_.discard(discarded) ? close() : waitToRead();
+  }
+  const std::size_t max_size = nextReadSize();
+  const std::size_t needed = std::max(expected_bytes_, input_.size() + max_size);
+  if (!memory_.reserve(needed, monotonicNow()))
+    return;
+  const std::size_t size = socket_.read_some(asio::buffer(buffer.data(), max_size), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) {
+    reportMemory();
     return waitToRead();
+  }
   if (error)
     return close();
-  if (phase_ == Phase::closing) {
-    return graceful_close_.discard(size) ? close() : waitToRead();
-  }
+  if (expected_bytes_ > input_.capacity())
+    input_.reserve(expected_bytes_);  // appending would grow it beyond the length of the request
   input_.append(buffer.data(), size);
   parse();
 }
 
+void RespSession::onMemoryAvailable() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    const bool may_read = self->phase_ == Phase::idle || self->phase_ == Phase::partial;
+    if (self->open_ && may_read)
+      self->read();
+  });
+}
+
+// Tells the account what the buffers take, and whom the session waits for.
+void RespSession::reportMemory() {
+  const Micros now = monotonicNow();
+  memory_.set(allocatedBytes(input_) + allocatedBytes(output_) + submitted_bytes_, now);
+  if (phase_ == Phase::partial)
+    memory_.waitForClient(ClientWait::send_request, since_);
+  if (phase_ == Phase::writing)
+    memory_.waitForClient(ClientWait::read_reply, since_);
+}
+
+bool RespSession::isWaitingForClient() const {
+  return phase_ != Phase::partial || isInputEmpty();
+}
+
+void RespSession::shedMemory() {
+  if (phase_ != Phase::writing)
+    return refuseRest(kShedReply);
+  socket_.cancel();
+  closeGracefully();
+}
+
 // Parses one request; the next is read once this one is answered.
 void RespSession::parse() {
   std::vector<std::string> words;
@@ -81,7 +136,9 @@
   std::string error;
   switch (parseRequest(input_, words, used, error, isCommandName)) {
     case ParseStatus::partial:
+      expected_bytes_ = used;
       enter(input_.empty() ? Phase::idle : Phase::partial);
+      reportMemory();
       return waitToRead();
     case ParseStatus::malformed:
       last_reply_ = true;
@@ -91,6 +148,9 @@
   }
   input_.erase(0, used);
   input_.shrink_to_fit();
+  expected_bytes_ = 0;
+  submitted_bytes_ = used;
+  reportMemory();
   execute(words);
 }
 
@@ -129,9 +189,13 @@
   const auto wait = readWait(words[2]);
   if (!wait)
     return reply("-ERR a whole number of milliseconds is expected\r\n");
+  if (!isValidToken(words[1]))  // no message has such an id
+    return reply(statusReply({}, client_.protocol));
   outcome_wait_ = *wait;
   awaited_id_ = words[1];
+  submitted_bytes_ = awaited_id_.size();
   enter(Phase::waiting);
+  reportMemory();
   checkOutcome(monotonicNow());
 }
 
@@ -142,22 +206,27 @@
   const bool keeps_waiting = now - since_ < outcome_wait_ && !owner_.isDraining();
   if (status.state == MessageStatus::State::open && keeps_waiting)
     return;
+  releaseBuffer(awaited_id_);
   reply(statusReply(status, client_.protocol));
 }
 
 // From the second error in a row on, the client's next request is read after a growing delay; after
 // kMaxErrors errors in a row, the connection is closed.
-void RespSession::reply(const std::string& bytes) {
+void RespSession::reply(std::string bytes) {
   const bool is_error = bytes.rfind("-ERR", 0) == 0;
   consecutive_errors_ = is_error ? consecutive_errors_ + 1 : 0;
   has_succeeded_ = has_succeeded_ || !is_error;
   has_submitted_ = has_submitted_ || (!is_error && phase_ == Phase::submitted);
   last_reply_ = last_reply_ || consecutive_errors_ >= kMaxErrors;
-  output_ = bytes;
+  output_ = std::move(bytes);
+  submitted_bytes_ = 0;
+  if (last_reply_)
+    releaseBuffer(input_);
   enter(Phase::writing);
+  reportMemory();
   asio::async_write(socket_, asio::buffer(output_),
                     [self = shared_from_this()](error_code error, std::size_t) {
-                      if (!self->open_)
+                      if (!self->open_ || self->phase_ != Phase::writing)
                         return;
                       error ? self->close() : self->onReplyWritten();
                     });
@@ -189,6 +258,7 @@
 
 void RespSession::readNext() {
   enter(Phase::idle);
+  reportMemory();
   input_.empty() ? waitToRead() : parse();
 }
 
@@ -209,7 +279,10 @@
   throttle_timer_.cancel();
   graceful_close_.start(socket_, monotonicNow());
   releaseBuffer(input_);
+  releaseBuffer(output_);
+  submitted_bytes_ = 0;
   enter(Phase::closing);
+  reportMemory();
   waitToRead();
 }
 
@@ -236,6 +309,7 @@
 void RespSession::abandon() {
   open_ = false;
   throttle_timer_.cancel();
+  memory_.close();
   closeNow(socket_);
 }
 
@@ -277,9 +351,14 @@
   const bool drain_overdue = owner_.isDraining() && now - owner_.drainingSince() >= kLastRequestLimit;
   if (now - since_ < kRequestLimit && !drain_overdue)
     return;
+  refuseRest("-ERR the request did not come to its end\r\n");
+}
+
+// Answers a request that has been read in part; the connection is closed after the reply.
+void RespSession::refuseRest(const std::string& reply_line) {
   socket_.cancel();
   last_reply_ = true;
-  reply("-ERR the request did not come to its end\r\n");
+  reply(reply_line);
 }
 
 }  // namespace grademux
--- a/src/listener/resp/session.h
+++ b/src/listener/resp/session.h
@@ -12,6 +12,7 @@
 
 #include "../../core/message.h"
 #include "../buffer_usage.h"
+#include "../client_memory.h"
 #include "../connection_close.h"
 #include "commands.h"
 
@@ -33,6 +34,8 @@
   // The buffer that all sessions read into, before each keeps the bytes that it needs: an idle connection
   // holds no buffer.
   virtual std::vector<char>& readBuffer() = 0;
+  // The memory that all sessions share; outlives each open session.
+  virtual ClientMemory& memory() = 0;
   // Called when the session enters a phase, also the phase that it was in; the time in the phase starts
   // again.
   virtual void onPhaseEntered(const RespSession& session) = 0;
@@ -40,7 +43,7 @@
   virtual void onSessionClosed(const RespSession& session) = 0;
 };
 
-class RespSession : public std::enable_shared_from_this<RespSession> {
+class RespSession : public std::enable_shared_from_this<RespSession>, private MemoryHolder {
  public:
   enum class Phase {
     idle,       // between requests
@@ -54,6 +57,8 @@
   static constexpr std::size_t kPhaseCount = 7;
   // Time in microseconds without a request after which a client must expect that its connection is closed.
   static constexpr Micros kIdleCloseable = 2'000'000;
+  // The memory of a connection without its buffers: the session, its place in the table, its descriptor.
+  static constexpr std::size_t kConnectionBytes = 2048;
 
   RespSession(boost::asio::io_context& io, SessionOwner& owner, boost::asio::ip::tcp::socket socket,
               std::int64_t number);
@@ -89,14 +94,22 @@
   void checkLimit(Micros now);
 
  private:
+  // MemoryHolder
+  void onMemoryAvailable() override;
+  bool isWaitingForClient() const override;
+  void shedMemory() override;
+
   void enter(Phase phase);
   void waitToRead();
   void read();
+  std::size_t nextReadSize() const;
+  void reportMemory();
   void parse();
   void execute(std::vector<std::string>& words);
   void put(std::vector<std::string>& words);
   void waitForOutcome(const std::vector<std::string>& words);
-  void reply(const std::string& bytes);
+  void refuseRest(const std::string& reply_line);
+  void reply(std::string bytes);
   void onReplyWritten();
   void throttle();
   void readNext();
@@ -107,6 +120,9 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer throttle_timer_;
   std::string input_, output_;
+  std::size_t expected_bytes_ = 0;   // least length of the request in `input_`; 0: not known
+  std::size_t submitted_bytes_ = 0;  // phase `submitted`: length of the request that the engine has
+  ClientMemory::Account memory_;
   RespClient client_;
   std::string awaited_id_;   // phase `waiting`: the message whose outcome is awaited
   Micros outcome_wait_ = 0;  // phase `waiting`: the longest wait, microseconds
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -56,6 +56,7 @@
   message_finished,
   message_orphaned,
   memory_usage,
+  memory_client_shed,
   knowledge_read,
   knowledge_rejected,
   knowledge_damaged,
@@ -178,6 +179,9 @@
      "program has "
      "allocated and what the allocator keeps of what was freed, and the buffers of client connections: "
      "unfinished requests, replies that were not read, and capacity that neither uses"},
+    {Event::memory_client_shed, "memory.client_shed", Level::info, "cause bytes",
+     "a client was cut off because memory is short; the cause is what it kept the sender waiting for "
+     "(unfinished_request or unread_reply), and bytes what its buffers had taken"},
     {Event::knowledge_read, "knowledge.read", Level::info, "records age_ms took_us",
      "the learned state of an earlier process was loaded; each record is used as far as it is still trusted"},
     {Event::knowledge_rejected, "knowledge.rejected", Level::warning, "cause",
