--- a/harness/main.cpp
+++ b/harness/main.cpp
@@ -21,8 +21,11 @@
   for (const auto& [n, s] : scenarios())
     list += "\n  " + n + ": " + s.second;
   app.add_option("SCENARIO", name, "one of:" + list)->required();
-  app.add_option("PART", o.part, "of the scenario fleet: audit, zone, region, cost, crowd, play")
-      ->check(CLI::IsMember({"audit", "zone", "region", "cost", "crowd", "play"}));
+  app.add_option("PART", o.part,
+                 "of the scenario fleet: audit, zone, region, cost, crowd, play; of the scenario floods: "
+                 "stops, drips, unread, huge, silent, http")
+      ->check(CLI::IsMember({"audit", "zone", "region", "cost", "crowd", "play", "stops", "drips", "unread",
+                             "huge", "silent", "http"}));
   app.add_option("--lease", o.lease_s, "of the scenario fleet, in seconds")->check(CLI::Range(1.0, 60.0));
   app.add_option("--zones", o.zones, "of the scenario fleet zone")->check(CLI::Range(2, 6));
   app.add_flag(
--- a/harness/scenarios.cpp
+++ b/harness/scenarios.cpp
@@ -304,6 +304,7 @@
       {"play", {play, "a world that stays up until Ctrl-C, with keys and lines to paste"}},
       {"drain", {drain, "endpoints drain and come back under load on both doors"}},
       {"copies", {lateCopies, "second copies of answers come late on connections that are used again"}},
+      {"floods", {floods, "clients that stop, drip, never read or fill the tables, within limits.memory_mb"}},
       {"kill", {kill, "SIGKILL at random moments under load on both doors"}}};
   return all;
 }
--- a/harness/scenarios.h
+++ b/harness/scenarios.h
@@ -34,6 +34,9 @@
 // Several senders killed at once and started together before a returning destination, see herd.cpp.
 json herd(const Options& o);
 
+// Clients that take what memory and descriptors they can get, see floods.cpp.
+json floods(const Options& o);
+
 // A world that stays up until Ctrl-C, see play.cpp.
 json play(const Options& o);
 
--- a/harness/test_environment.h
+++ b/harness/test_environment.h
@@ -19,6 +19,7 @@
   int senders = 1;  // that the program is told of
   int slots = 64, max_open = 20000;
   double disk_mb = 256, tick_ms = 1;
+  int memory_mb = 1024, sockets = 1024;
   std::size_t connections = 32;  // of clients to each door
   bool http = true;              // with an HTTP door
   std::size_t capacity = 1 << 20;
