--- a/harness/floods.cpp
+++ b/harness/floods.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr Micros kSecond = 1'000'000;
-constexpr Micros kOwedWithin = 3 * kSecond;  // an error or the close, from the connection on
+constexpr Micros kMaxErrorDelay = 3 * kSecond;  // an error or the close, from the connection on
 constexpr Micros kReconnectDelay = 100'000;
 constexpr Micros kDripInterval = kSecond;
 constexpr auto kSampleInterval = std::chrono::milliseconds(5);
@@ -138,7 +138,7 @@
     if (!flood_.reads)
       return;
     const bool open = receive(client);
-    if (open && !client.answered && now - client.since > kOwedWithin) {
+    if (open && !client.answered && now - client.since > kMaxErrorDelay) {
       client.answered = true;
       ++overdue_;
     }
--- a/harness/relay.cpp
+++ b/harness/relay.cpp
@@ -61,11 +61,11 @@
   boost::asio::io_context io(1);
   const Config c = readConfig();
   ClientMemory client_memory(kClientMemoryBytes);
-  RespListener door(io, parseAddress(c.listen), {512, 512}, client_memory);
+  RespListener listener(io, parseAddress(c.listen), {512, 512}, client_memory);
   Relay relay(io, c);
   operate::ServiceState state;
   state.setReady();
-  door.start(relay, state);
+  listener.start(relay, state);
   boost::asio::signal_set signals(io, SIGTERM);
   signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
   io.run();
--- a/src/daemon/memory_budget.h
+++ b/src/daemon/memory_budget.h
@@ -1,5 +1,5 @@
 // How the memory of the process is divided (`limits.memory_mb`, `limits.memory`). Each part bounds what it is
-// for, so that the process as a whole stays within the limit whatever clients, endpoints and sources do. Pure
+// for. Answers of the plan store, partner files and the parsed form of a list have no part yet. Pure
 // functions.
 #pragma once
 
--- a/tests/daemon/memory_limit_test.cpp
+++ b/tests/daemon/memory_limit_test.cpp
@@ -11,7 +11,7 @@
 
 constexpr int kMemoryMegabytes = 32, kDescriptors = 1024;
 constexpr std::int64_t kMemoryBytes = kMemoryMegabytes * 1024 * 1024;
-constexpr auto kMaxWaitForError = 3s;  // what each bad client is owed
+constexpr auto kMaxWaitForError = 3s;  // until an error or the close
 constexpr std::size_t kWordBytes = 65536;
 constexpr int kRespClients = 600, kHttpClients = 300;
 
@@ -122,7 +122,7 @@
   return clients;
 }
 
-// Each client is owed an error or the close of its connection in time, with the error first.
+// Each client gets an error, or the close of its connection, in time; an error comes first.
 void expectErrors(Clients<Client>& clients, std::chrono::steady_clock::time_point since) {
   int errors = 0;
   for (const auto& client : clients) {
