--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -157,6 +157,13 @@
   ::close(fd);
 }
 
+// Whether the peer has ended its side.
+inline bool hasEnded(int fd) {
+  char byte;
+  const ssize_t count = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 || (count < 0 && errno != EAGAIN);
+}
+
 // Whether the peer has ended its side, waiting for at most so long.
 inline bool peerEnds(int fd, double ms) {
   const double until = now() + ms;
@@ -164,9 +171,7 @@
     pollfd entry{fd, POLLIN, 0};
     if (::poll(&entry, 1, static_cast<int>(std::max(1.0, until - now()))) <= 0)
       continue;
-    char byte;
-    const ssize_t count = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (count == 0 || (count < 0 && errno != EAGAIN))
+    if (hasEnded(fd))
       return true;
     sleepMs(5);
   }
@@ -314,6 +319,14 @@
                 entry.status.c_str());
     return now();
   }
+  // While discovery is down the agent is silent: it takes calls and answers none about the list. At the
+  // return it answers those that still wait.
+  void setSilent(bool silent) {
+    const std::lock_guard<std::mutex> guard(mutex_);
+    silent_ = silent;
+    record.line("discovery %s", silent ? "is down" : "is back");
+    changed_.notify_all();
+  }
   // Pause between the first and the second piece of each answer about the list; 0: in one piece.
   std::atomic<double> pause_within_answer{0};
   // The outcome of each message for which a notice came.
@@ -347,8 +360,13 @@
     std::string body;
     {
       std::unique_lock<std::mutex> lock(mutex_);
-      changed_.wait_for(lock, std::chrono::duration<double, std::milli>(std::min(hold, 60000.0)),
-                        [&] { return from < 0 || index_ > from; });
+      const double until = now() + std::min(hold, 60000.0);
+      const auto has_answer = [&] { return !silent_ && (from < 0 || index_ > from || now() >= until); };
+      while (!has_answer()) {
+        changed_.wait_for(lock, std::chrono::milliseconds(10));
+        if (hasEnded(fd))
+          return false;
+      }
       body = list(from);
     }
     const std::string bytes = answer("200 OK", "Content-Type: application/json\r\n", body);
@@ -406,6 +424,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::int64_t index_ = 41;
+  bool silent_ = false;
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::string> notices_;
   HttpServer server_;
