Review case 8: a 200 set aside as a late copy is lost when its attempt is cancelled

Shows: after a slow start a usual answer counts as implausibly early; set aside, it is not taken when a hanging partner makes the sender cancel overdue attempts, and the message is called and run again 4 s after its 200. Takes the place of the case on waits, which has the same code at fault and a lesser consequence.

--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,83 +1,96 @@
-// A destination lowers its limit and tells callers how long to wait. Nothing may go there until the wait is
-// over.
+// All calls take three times as long for the first 5 s, then as usual. After that one partner takes calls and
+// answers none. Meanwhile a print order is delivered at another one. Nothing may be sent for it once its 200
+// is written.
 #include "rig.h"
 
 namespace {
 
-constexpr double kService = 150, kWait = 400;       // milliseconds; the wait is Retry-After: 0.4
-constexpr double kLowered = 6000, kRaised = 15000;  // the limit is lowered for 9 s
-constexpr double kGap = 400;            // lowered: there is room for one call in so many milliseconds
-constexpr double kBetween = 650;        // between two messages of the client
-constexpr char kTells[] = "ttnnttnnt";  // which of nine refusals tell a wait: 5, which is 56%
-constexpr double kLetThrough = 150;     // after a wait was told: 100 ms, and 50 ms on sockets
+constexpr double kUpdate = 260, kOrder = 100;    // milliseconds that a call takes at partner 1
+constexpr double kOther = 300;                   // at partner 2, which is slower
+constexpr double kSilent = 6500, kBack = 16500;  // partner 2 takes calls and answers none for 10 s
+constexpr double kSlow = 5000, kSlowness = 3;    // until then all calls take so many times as long
+constexpr double kLate = 100;                    // a call that comes so long after the 200 was written
+constexpr int kClump = 12;
+
+double slowness(double at) {
+  return rig::hasTrouble() && at < kSlow ? kSlowness : 1;
+}
 
 int check() {
   static std::mutex mutex;
-  static double room_at = 0;  // lowered: when there is room again
-  static int refusals = 0;
-  static int taken = 0;             // other senders take two of three such places at once
-  static std::vector<double> told;  // when the answers with a wait were written
-  static std::atomic<int> breaks{0}, calls{0};
-  auto& endpoint = *new rig::HttpServer([](const rig::Request& request, int& fd) {
+  static std::map<std::string, double> delivered;  // when the 200 of a message was written
+  static int breaks = 0, orders = 0;
+  auto& first = *new rig::HttpServer([](const rig::Request& request, int& fd) {
     const std::string id = request.field("x-txn");
-    const double at = request.last_byte;
-    ++calls;
-    bool refused = false, tells = false;
     {
       const std::lock_guard<std::mutex> guard(mutex);
-      for (const double wait : told)
-        if (at > wait + kLetThrough && at < wait + kWait) {
-          ++breaks;
-          rig::record.line("BREAK: call %s came %.1f ms after a wait of %.0f ms was told", id.c_str(),
-                           at - wait, kWait);
-          break;
-        }
-      const bool lowered = rig::hasTrouble() && at >= kLowered && at < kRaised;
-      for (room_at = std::max(room_at, kLowered); lowered && room_at <= at && taken++ % 3 != 2;)
-        room_at += kGap;
-      refused = lowered && room_at > at;
-      if (lowered && !refused)
-        room_at = at + kGap;
-      if (refused)
-        tells = kTells[refusals++ % 9] == 't';
-    }
-    if (refused && !tells) {
-      rig::record.line("endpoint: call %s: 503", id.c_str());
-      return rig::sendAll(fd, rig::answer("503 Service Unavailable"));
+      orders += request.body == "order";
+      const auto before = delivered.find(id);
+      if (before != delivered.end() && request.last_byte > before->second + kLate) {
+        ++breaks;
+        rig::record.line("BREAK: call %s came %.0f ms after the 200 for it was written", id.c_str(),
+                         request.last_byte - before->second);
+      }
     }
-    if (refused) {
-      rig::record.line("endpoint: call %s: 429, Retry-After 0.4", id.c_str());
-      const bool sent = rig::sendAll(fd, rig::answer("429 Too Many Requests", "Retry-After: 0.4\r\n"));
-      const std::lock_guard<std::mutex> guard(mutex);
-      told.push_back(rig::now());
-      return sent;
+    const double usual = request.body == "order" ? kOrder : kUpdate;
+    rig::sleepUntil(request.last_byte + usual * slowness(request.last_byte));
+    if (!rig::sendAll(fd, rig::answer("200 OK")))
+      return false;
+    rig::record.line("partner 1: call %s (%s): 200", id.c_str(), request.body.c_str());
+    const std::lock_guard<std::mutex> guard(mutex);
+    delivered.emplace(id, rig::now());
+    return true;
+  });
+  auto& second = *new rig::HttpServer([](const rig::Request& request, int& fd) {
+    const std::string id = request.field("x-txn");
+    if (rig::hasTrouble() && request.last_byte >= kSilent && request.last_byte < kBack) {
+      rig::record.line("partner 2: call %s: no answer", id.c_str());
+      rig::peerEnds(fd, 30000);
+      rig::record.line("partner 2: call %s has been given up", id.c_str());
+      return false;
     }
-    rig::sleepUntil(at + kService);
-    rig::record.line("endpoint: call %s: 200", id.c_str());
+    rig::sleepUntil(request.last_byte + kOther * slowness(request.last_byte));
+    rig::record.line("partner 2: call %s: 200", id.c_str());
     return rig::sendAll(fd, rig::answer("200 OK"));
   });
-  rig::Listed listed;
-  listed.name = "s-1";
-  listed.address = endpoint.address();
-  listed.weight = 10;
-  auto& agent = *new rig::Agent({listed});
+  rig::Listed one, two;
+  one.name = "s-1";
+  one.address = first.address();
+  two.name = "s-2";
+  two.address = second.address();
+  two.destination = 2;
+  auto& agent = *new rig::Agent({one, two});
   rig::Platform platform(agent);
   platform.writeConfig(platform.document(rig::Settings()));
   rig::Process sender;
   platform.startAndWait(sender);
   rig::Client client(platform.port());
-  const double begin = std::max(rig::now(), 500.0);
-  for (int i = 0; begin + kBetween * i < kRaised + 1000; ++i) {
-    rig::sleepUntil(begin + kBetween * i);
+  const auto put = [&](const char* message_class, int destination, const char* what) {
     rig::Message message;
     message.id = rig::newId();
-    message.message_class = "status-update";
+    message.message_class = message_class;
+    message.destination = destination;
     message.deadline = 28000;
+    message.what = what;
+    if (message.message_class == "print-order")
+      message.key = "k" + message.id;
     rig::put(client, message);
+  };
+  // Partner 1 gets status updates, partner 2 print orders.
+  for (double at = 500; at < kSilent - 400; at += 1000) {
+    rig::sleepUntil(at);
+    put("status-update", 1, "update");
+    put("print-order", 2, "order");
   }
-  rig::sleepMs(1500);
-  if (calls < 15)
-    throw rig::CannotRun{"too few calls came"};
+  rig::sleepUntil(kSilent + 50);
+  put("print-order", 1, "order");
+  rig::sleepMs(30);
+  for (int i = 0; i < kClump; ++i)
+    put("print-order", 2, "order");
+  rig::sleepUntil(kSilent + 8000);
+  const std::lock_guard<std::mutex> guard(mutex);
+  if (orders == 0 || delivered.size() < 5)
+    throw rig::CannotRun{"too few calls came to partner 1"};
   return breaks;
 }
 
