--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,96 +1,99 @@
-// SIGHUP with a broken file: its number of attempts is no number. Nothing of it may hold, so payments may
-// still not be repeated: one that may have run is not handed back.
+// Messages with one order key. A call for the first is reset, so its key rests. Meanwhile a second process
+// replaces the first. Nothing may go for the second message until the rest is over.
 #include "rig.h"
 
 namespace {
 
+constexpr int kRest = 4000;     // OrderPauseMs
+constexpr double kWork = 2000;  // the first message's work goes on for so long after the reset
+
 int check() {
-  static std::mutex mutex;
-  static std::map<std::string, std::string> work_of;            // by message id
-  static std::map<std::string, std::vector<std::string>> runs;  // by work: the ids under which it ran
-  static std::vector<std::string> returned;                     // ids for which handed_back came
+  static std::atomic<double> reset_at{-1};
+  static std::atomic<int> breaks{0}, second_calls{0}, state{0};
   auto& endpoint = *new rig::HttpServer([](const rig::Request& request, int& fd) {
     const std::string id = request.field("x-txn");
-    bool first;
-    {
-      const std::lock_guard<std::mutex> guard(mutex);
-      runs[request.body].push_back(id);
-      first = runs[request.body].size() == 1;
+    if (request.body == "first") {
+      rig::sleepUntil(request.last_byte + 100);
+      reset_at = rig::now();
+      rig::resetConnection(fd);
+      fd = -1;
+      rig::record.line("endpoint: call %s of the first message: connection reset, its work goes on",
+                       id.c_str());
+      rig::sleepMs(kWork);
+      rig::record.line("endpoint: the work of the first message takes effect: the state is 'first'");
+      state = 1;
+      return false;
+    }
+    if (request.body == "second") {
+      ++second_calls;
+      const double after = request.first_byte - reset_at;
+      rig::record.line("endpoint: call %s of the second message, %.0f ms after the reset", id.c_str(), after);
+      if (after < kRest) {
+        ++breaks;
+        rig::record.line("BREAK: the key rests for %d ms", kRest);
+      }
     }
-    rig::sleepUntil(request.last_byte + 150);
-    const bool fails = first && request.body == "payment-1";
-    rig::record.line("endpoint: ran %s, call %s: %s", request.body.c_str(), id.c_str(),
-                     fails ? "reset" : "200");
-    if (!fails)
-      return rig::sendAll(fd, rig::answer("200 OK"));
-    rig::resetConnection(fd);
-    fd = -1;
-    return false;
+    rig::sleepUntil(request.last_byte + 100);
+    if (request.body == "second") {
+      rig::record.line("endpoint: the work of the second message takes effect: the state is 'second'");
+      state = 2;
+    }
+    return rig::sendAll(fd, rig::answer("200 OK"));
   });
   rig::Listed listed;
   listed.name = "s-1";
   listed.address = endpoint.address();
   auto& agent = *new rig::Agent({listed});
-  agent.on_notice = [](const std::string& id, const std::string& outcome) {
-    const std::lock_guard<std::mutex> guard(mutex);
-    if (outcome == "handed_back")
-      returned.push_back(id);
-  };
   rig::Platform platform(agent);
+  platform.listenFor();
   rig::Settings settings;
+  settings.order_pause = kRest;
+  settings.classes[2].ordered = true;
   platform.writeConfig(platform.document(settings));
-  rig::Process sender;
-  platform.startAndWait(sender);
+  rig::Process first_process, second_process;
+  const int first_operators = rig::ownPort(), second_operators = rig::ownPort();
+  platform.startAndWait(first_process, first_operators);
   rig::Client client(platform.port());
-  const auto pay = [&](const std::string& work) {
-    rig::Message message;
+  rig::Message message;
+  message.message_class = "payment";
+  message.deadline = 24000;
+  message.order = "00000000000000a7";
+  for (const char* what : {"warm", "first", "second"}) {
     message.id = rig::newId();
-    message.message_class = "payment";
-    message.deadline = 24000;
-    message.what = work;
-    {
-      const std::lock_guard<std::mutex> guard(mutex);
-      work_of[message.id] = work;
-    }
-    rig::put(client, message);
-  };
-  pay("payment-0");
-  rig::sleepMs(500);
-  if (rig::hasTrouble()) {
-    rig::Settings broken = settings;
-    broken.classes[2].effect = "idempotent";
-    broken.max_attempts = "null";
-    platform.writeConfig(platform.document(broken));
-    sender.signal(SIGHUP);
-    rig::record.line("SIGHUP; the file has MaxAttempts null, and another effect for payments");
-  }
-  rig::sleepMs(1500);
-  for (int i = 1; i <= 4; ++i) {
-    pay("payment-" + std::to_string(i));
-    rig::sleepMs(600);
+    message.what = what;
+    if (rig::put(client, message) != "+OK")
+      throw rig::CannotRun{"a message was not taken on"};
+    rig::sleepMs(what[0] == 'w' ? 500 : 20);
   }
-  // A client hands in again what was handed back to it.
-  std::size_t seen = 0;
-  for (const double until = rig::now() + 4000; rig::now() < until; rig::sleepMs(50)) {
-    std::vector<std::string> again;
-    {
-      const std::lock_guard<std::mutex> guard(mutex);
-      for (; seen < returned.size(); ++seen)
-        again.push_back(work_of[returned[seen]]);
+  client.close();
+  for (const double until = rig::now() + 5000; reset_at < 0 && rig::now() < until;)
+    rig::sleepMs(5);
+  if (reset_at < 0)
+    throw rig::CannotRun{"the first message was not called"};
+  rig::sleepMs(200);
+  if (rig::hasTrouble()) {
+    const char* how = std::getenv("HOW");
+    if (how && std::string(how) == "kill") {
+      first_process.kill();
+      rig::sleepMs(600);
+      platform.start(second_process, second_operators);
+    } else {
+      platform.start(second_process, second_operators);
+      for (const double until = rig::now() + 6000;
+           rig::operators(second_operators, "status").rfind("ACK", 0) != 0;) {
+        if (rig::now() > until)
+          throw rig::CannotRun{"the second process did not say yes"};
+        rig::sleepMs(20);
+      }
+      rig::record.line("the second process says yes; SIGTERM to the first");
+      first_process.signal(SIGTERM);
     }
-    for (const std::string& work : again)
-      pay(work);
   }
-  const std::lock_guard<std::mutex> guard(mutex);
-  if (runs.size() < 5)
-    throw rig::CannotRun{"not every payment was called"};
-  int breaks = 0;
-  for (const auto& [work, ids] : runs)
-    if (ids.size() > 1) {
-      ++breaks;
-      rig::record.line("BREAK: %s ran %zu times: as %s, which was handed back, and as %s", work.c_str(),
-                       ids.size(), ids[0].c_str(), ids[1].c_str());
-    }
+  rig::sleepUntil(reset_at + kRest + 3000);
+  if (second_calls == 0)
+    throw rig::CannotRun{"the second message was not called"};
+  rig::record.line("at the end the state is '%s'%s", state == 2 ? "second" : "first",
+                   state == 2 ? "" : ": the later message is lost, though its call was answered 200");
   return breaks;
 }
 
