--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -1,6 +1,6 @@
 // Messages with one order key. A call for the first is reset, so its key rests. Meanwhile a second process
 // replaces the first. Nothing may go for the second message until the rest is over.
-#include "rig.h"
+#include "rig-2.h"
 
 namespace {
 
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,6 +1,6 @@
 // SIGHUP with a broken file: its number of attempts is no number. Nothing of it may hold, so payments may
 // still not be repeated: one that may have run is not handed back.
-#include "rig.h"
+#include "rig-2.h"
 
 namespace {
 
--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -1,7 +1,7 @@
 // All calls take three times as long for the first 5 s, then as usual. After that one partner takes calls and
 // answers none. Meanwhile a print order is delivered at another one. Nothing may be sent for it once its 200
 // is written.
-#include "rig.h"
+#include "rig-2.h"
 
 namespace {
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
 // Discovery is slow: each of its answers takes 0.6 s from its first byte to its last. An endpoint is
 // replaced: it drains, and another one is ready. Nothing new may go to the old one once the sender counts as
 // told.
-#include "rig.h"
+#include "rig-2.h"
 
 namespace {
 
