Log: an event for a response that is set aside, with the bound it fell under

An attempt whose response was set aside as a possible late copy, and one that never got a response, looked the same in the log once they were cancelled: outcome=cancelled, first_byte_us=-1.

attempt.response_set_aside names the status, the time to the first byte and the bound.

--- a/src/log/events.h
+++ b/src/log/events.h
@@ -53,6 +53,7 @@
   membership_dns_forbidden,
   membership_stale,
   attempt_finished,
+  attempt_response_set_aside,
   attempt_copy_discarded,
   message_finished,
   message_abandoned,
@@ -171,6 +172,11 @@
      "an attempt finished; the fields after outcome describe the HTTP exchange: how it ended, the status "
      "line as it was received, whether the connection was reused (1) after how long an idle time, and the "
      "time from the last byte written to the first byte received (-1: none)"},
+    {Event::attempt_response_set_aside, "attempt.response_set_aside", Level::info,
+     "message endpoint attempt status first_byte_us earliest_us",
+     "a response repeats an earlier one of its connection and came sooner (first_byte_us) than the endpoint "
+     "is known to answer (earliest_us): it may be a late copy, and is kept until another response comes or "
+     "the attempt ends"},
     {Event::attempt_copy_discarded, "attempt.copy_discarded", Level::info, "message endpoint attempt",
      "the endpoint sent a late copy of an earlier response on a reused connection; it was not taken"},
     {Event::message_finished, "message.finished", Level::debug, "message outcome attempts",
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -53,6 +53,7 @@
   ResponseHistory history;  // of the open connection
   Done done;
   std::function<bool()> is_write_allowed;
+  std::function<void(const HttpAnswer&)> on_set_aside;
   // Counters of exchanges started or finished and of timers set. A handler with an earlier number is ignored:
   // a handler that is already queued can't be cancelled.
   std::uint64_t exchange_number = 0, timer_number = 0;
@@ -74,6 +75,7 @@
     const Micros write_limit = std::min(limit, request.write_within);
     write_deadline = now + std::chrono::microseconds(write_limit);
     is_write_allowed = std::move(request.is_write_allowed);
+    on_set_aside = std::move(request.on_set_aside);
     earliest_response = request.earliest_response;
     keeps_body = request.needs_response_body;
     out = serializeRequest(std::move(request), host);
@@ -265,6 +267,8 @@
       first_byte_at = Clock::now();
     }
     setTimer(exchange, remaining(deadline));
+    if (on_set_aside)
+      on_set_aside(*set_aside);
   }
 
   // Limits the time for the rest of a partial response. Between an interim response and the final one, the
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -13,6 +13,8 @@
 
 constexpr Micros kNoLimit = std::numeric_limits<Micros>::max();
 
+struct HttpAnswer;
+
 struct HttpRequest {
   std::string method, target;
   std::vector<std::pair<std::string, std::string>> fields;
@@ -31,6 +33,8 @@
   // ends by its limit or by the end of the connection. A part of such a response confirms nothing.
   // Microseconds; 0: every response is taken at once.
   Micros earliest_response = 0;
+  // Called when a response is set aside, with that response; may be empty. Must not use the connection.
+  std::function<void(const HttpAnswer&)> on_set_aside;
 };
 
 enum class ExchangeResult {
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -36,6 +36,16 @@
                                             {"first_byte_us", answer.first_byte_delay}});
 }
 
+void logResponseSetAside(const AttemptId& id, const std::string& endpoint, const HttpAnswer& answer,
+                         Micros earliest_response) {
+  log::write(log::Event::attempt_response_set_aside, {{"message", id.message_id},
+                                                      {"endpoint", endpoint},
+                                                      {"attempt", id.attempt},
+                                                      {"status", answer.head_status},
+                                                      {"first_byte_us", answer.first_byte_delay},
+                                                      {"earliest_us", earliest_response}});
+}
+
 }  // namespace
 
 HttpTransport::HttpTransport(asio::io_context& io, Limits limits, OnOutcome on_outcome)
@@ -95,6 +105,10 @@
   http.needs_response_body = false;  // the outcome depends on the head alone
   http.write_within = request.write_within;
   http.earliest_response = response_times_.earliestPlausible(request.endpoint);
+  http.on_set_aside = [id = AttemptId{message.id, request.attempt}, endpoint = request.endpoint,
+                       earliest = http.earliest_response](const HttpAnswer& answer) {
+    logResponseSetAside(id, endpoint, answer, earliest);
+  };
   if (is_send_allowed_)
     http.is_write_allowed = [this, endpoint = request.endpoint] { return is_send_allowed_(endpoint); };
   return http;
