--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -1,15 +1,12 @@
 // HTTP transport over loopback sockets: each row of the protocol's outcome table, and the connection pool.
-#include "../../src/transport/http/http_transport.h"
-
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
 #include <thread>
 
-#include "../support/loopback.h"
+#include "transport_fixture.h"
 
 namespace grademux {
 namespace {
@@ -19,45 +16,6 @@
 using loopback::Seen;
 using loopback::Server;
 
-struct TransportFixture {
-  explicit TransportFixture(Micros conn_idle = 60'000'000, Micros dial = 5'000'000)
-      : transport(io, {dial, conn_idle, 16}, [this](AttemptOutcome o) { outcomes.push_back(std::move(o)); }) {
-  }
-
-  AcceptedMessage message(const std::string& id) {
-    AcceptedMessage m;
-    m.id = id;
-    m.idempotency_key = "5c0f6e1a2b3d4c59";
-    m.body = std::string("any\0bytes\r\n", 11);
-    return m;
-  }
-  // Starts an attempt and waits for its outcome.
-  AttemptOutcome runAttempt(const std::string& id, Micros timeout = 60'000'000) {
-    const std::size_t before = outcomes.size();
-    transport.startAttempt({message(id), 0, "e", timeout});
-    return waitFor(before + 1);
-  }
-  // Lets idle connections rest, as they do between two calls.
-  void rest() {
-    constexpr std::chrono::milliseconds kLongerThanAnyRest{25};
-    io.restart();
-    io.run_for(kLongerThanAnyRest);
-  }
-  AttemptOutcome waitFor(std::size_t count) {
-    const auto until = std::chrono::steady_clock::now() + loopback::kLong;
-    while (outcomes.size() < count && std::chrono::steady_clock::now() < until) {
-      io.restart();
-      io.run_one_for(std::chrono::seconds(1));
-    }
-    EXPECT_EQ(count, outcomes.size());
-    return outcomes.empty() ? AttemptOutcome{} : outcomes.back();
-  }
-
-  boost::asio::io_context io;
-  std::vector<AttemptOutcome> outcomes;
-  HttpTransport transport;
-};
-
 AttemptOutcome outcomeOf(const Act& act, Micros timeout = 60'000'000) {
   Server s([&](const Seen&) { return act; });
   TransportFixture fixture;
@@ -564,47 +522,6 @@
   EXPECT_EQ(0, late.got);
 }
 
-// Accepts connections in the test itself, so that the test decides when each byte is sent, without an event
-// loop.
-struct ManualServer {
-  int accept() {
-    pollfd ready{listener.fd, POLLIN, 0};
-    constexpr int kLongMs = 20'000;
-    if (::poll(&ready, 1, kLongMs) <= 0) {
-      ADD_FAILURE() << "no connection came";
-      return -1;
-    }
-    return ::accept4(listener.fd, nullptr, nullptr, SOCK_CLOEXEC);
-  }
-  // Runs the transport until the complete request has arrived.
-  static void readRequest(TransportFixture& fixture, int fd) {
-    std::string in;
-    EXPECT_TRUE(loopback::eventually([&] {
-      fixture.io.restart();
-      fixture.io.poll();
-      char piece[4096];
-      const ssize_t n = ::recv(fd, piece, sizeof piece, MSG_DONTWAIT);
-      if (n > 0)
-        in.append(piece, static_cast<std::size_t>(n));
-      return in.find("any") != std::string::npos;  // its body
-    }));
-  }
-  // Starts the first attempt to endpoint "e", which is this server, reads its request and returns the
-  // connection.
-  int startFirstAttempt(TransportFixture& fixture, const std::string& id) {
-    fixture.transport.setAddress("e", listener.address(), 0);
-    fixture.transport.startAttempt({fixture.message(id), 0, "e", 60'000'000});
-    fixture.io.poll();
-    const int fd = accept();
-    readRequest(fixture, fd);
-    return fd;
-  }
-  static void send(int fd, const std::string& bytes) {
-    EXPECT_EQ(static_cast<ssize_t>(bytes.size()), ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
-  }
-  loopback::Listener listener;
-};
-
 // Guards against cancelling an attempt while its response is unread in the socket: a Retry-After would be
 // violated, or a delivery would be missed.
 TEST(HttpTransport, EvaluatesArrivedBytesOnCancel) {
@@ -676,137 +593,6 @@
   ::close(fd);
 }
 
-// An endpoint that takes its time for the first response, and then writes late copies of it. What arrives at
-// once after a request on the same connection can't be the response to that request.
-struct LateCopyFixture : TransportFixture {
-  LateCopyFixture() {
-    fd = server.startFirstAttempt(*this, "first");
-    io.restart();
-    io.run_for(kResponseTime);
-    ManualServer::send(fd, kFirstResponse);
-    EXPECT_EQ(AttemptResult::ok, waitFor(1).result);
-    EXPECT_EQ(1u, transport.idleConnections());
-    rest();
-  }
-  ~LateCopyFixture() { ::close(fd); }
-  // Starts the next attempt, whose request arrives on the connection of the first.
-  void startSecondAttempt(Micros timeout = 60'000'000) {
-    transport.startAttempt({message("second"), 0, "e", timeout});
-    ManualServer::readRequest(*this, fd);
-  }
-  // Lets the transport read what was sent.
-  void runLoop() {
-    io.restart();
-    io.poll();
-  }
-  // Long beside the pauses of a busy machine: an early response comes within a quarter of it.
-  static constexpr std::chrono::milliseconds kResponseTime{1200};
-  const std::string kFirstResponse = answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n", "done");
-  ManualServer server;
-  int fd = -1;
-};
-
-// Guards against taking a late copy of an earlier 200 for the response to the next message on the connection:
-// that message would be lost (issue 59, evidence 1 and 2).
-TEST(HttpTransport, DiscardsLateCopyOfEarlierResponseOnReusedConnection) {
-  LateCopyFixture fixture;
-  fixture.startSecondAttempt();
-  ManualServer::send(fixture.fd, fixture.kFirstResponse);
-  fixture.runLoop();
-  EXPECT_EQ(1u, fixture.outcomes.size());
-  ManualServer::send(fixture.fd, answer("503 Full"));
-  EXPECT_EQ(AttemptResult::rejected, fixture.waitFor(2).result);
-  EXPECT_EQ(0u, fixture.transport.idleConnections());
-}
-
-// The same with the copy in pieces, and with the response right behind it.
-TEST(HttpTransport, DiscardsLateCopyInPiecesWithResponseBehindIt) {
-  LateCopyFixture fixture;
-  fixture.startSecondAttempt();
-  constexpr std::size_t kCut = 20;
-  ManualServer::send(fixture.fd, fixture.kFirstResponse.substr(0, kCut));
-  fixture.runLoop();
-  ManualServer::send(fixture.fd,
-                     fixture.kFirstResponse.substr(kCut) + answer("429 Slow", "Retry-After: 5\r\n"));
-  const AttemptOutcome outcome = fixture.waitFor(2);
-  EXPECT_EQ(AttemptResult::rejected, outcome.result);
-  EXPECT_EQ(5'000'000, outcome.retry_after);
-}
-
-// Guards against a response that was early and like an earlier one, and was the request's own: a delivered
-// payment would be reported as failed. No other response comes, so it is taken at the attempt's limit, or
-// when the endpoint closes the connection.
-TEST(HttpTransport, TakesEarlyRepeatedResponseWhenNoOtherOneComes) {
-  for (const bool closes : {false, true}) {
-    LateCopyFixture fixture;
-    fixture.startSecondAttempt(closes ? 60'000'000 : 600'000);
-    ManualServer::send(fixture.fd, fixture.kFirstResponse);
-    fixture.runLoop();
-    EXPECT_EQ(1u, fixture.outcomes.size());
-    if (closes)
-      ::shutdown(fixture.fd, SHUT_WR);
-    const AttemptOutcome outcome = fixture.waitFor(2);
-    EXPECT_EQ(AttemptResult::ok, outcome.result);
-    EXPECT_TRUE(outcome.already_finished);
-    EXPECT_EQ(0u, fixture.transport.idleConnections());
-  }
-}
-
-// Guards against a late copy that is still unread, or has come in part, when the attempt is cancelled.
-TEST(HttpTransport, DiscardsLateCopyOnCancel) {
-  for (const bool whole : {true, false}) {
-    LateCopyFixture fixture;
-    fixture.startSecondAttempt();
-    constexpr std::size_t kCut = 30;  // behind the status line
-    ManualServer::send(fixture.fd, fixture.kFirstResponse.substr(0, whole ? std::string::npos : kCut));
-    fixture.transport.cancelAttempt("second", 0);
-    const AttemptOutcome outcome = fixture.waitFor(2);
-    EXPECT_EQ(AttemptResult::cancelled, outcome.result);
-    EXPECT_FALSE(outcome.already_finished);
-  }
-}
-
-// A response that differs from the earlier ones is the request's own, however early: rejections often are.
-TEST(HttpTransport, TakesEarlyResponseThatRepeatsNoEarlierOne) {
-  LateCopyFixture fixture;
-  fixture.startSecondAttempt();
-  ManualServer::send(fixture.fd, answer("503 Full"));
-  EXPECT_EQ(AttemptResult::rejected, fixture.waitFor(2).result);
-  EXPECT_EQ(1u, fixture.transport.idleConnections());
-}
-
-// Guards against writing a call while bytes that the endpoint wrote right behind its response are on their
-// way.
-TEST(HttpTransport, LeavesConnectionUnusedRightAfterResponse) {
-  LateCopyFixture fixture;
-  fixture.startSecondAttempt();
-  ManualServer::send(fixture.fd, answer("200 OK"));
-  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(2).result);
-  fixture.transport.startAttempt({fixture.message("third"), 0, "e", 60'000'000});
-  fixture.runLoop();
-  const int fd = fixture.server.accept();
-  ManualServer::readRequest(fixture, fd);
-  ManualServer::send(fd, answer("200 OK"));
-  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(3).result);
-  EXPECT_EQ(2u, fixture.transport.idleConnections());
-  ::close(fd);
-}
-
-// Guards against mistaking the response to a message that ran before, which may come at once, for a late
-// copy: the message would be sent again after its delivery.
-TEST(HttpTransport, SendsRepeatOfMessageThatMayHaveRunOnNewConnection) {
-  LateCopyFixture fixture;
-  AttemptRequest repeat{fixture.message("second"), 1, "e", 60'000'000};
-  repeat.may_have_run = true;
-  fixture.transport.startAttempt(repeat);
-  fixture.runLoop();
-  const int fd = fixture.server.accept();
-  ManualServer::readRequest(fixture, fd);
-  ManualServer::send(fd, fixture.kFirstResponse);
-  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(2).result);
-  ::close(fd);
-}
-
 // Guards against a connect time limit that expires in the same loop iteration as the connection is
 // established. The request is written, and then the handler of the limit, which can't be cancelled any more,
 // reports it as not written: a second effect.
