Response times: the bound on early responses follows an endpoint that became faster

Cause: responses that repeat an earlier one, and those that were set aside, were never counted.

Change: a repeated, plausible response lowers the bound to half of its time; one that was set aside and taken in the end halves it, since it may be a late copy all the same. Neither raises it.

Measured: HttpTransport.BoundOnEarlyResponsesFollowsEndpointThatHasBecomeFaster failed with the fix taken out.

--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -195,11 +195,16 @@
   cancelUnwrittenIf([&](const Attempt& other) { return scope_of_(other.endpoint) == scope; });
 }
 
-// Only responses that can't be late copies of earlier ones count, and only of first executions.
+// Only responses of first executions count. Those that may be late copies only lower what is plausible.
 void HttpTransport::recordResponseTime(const Attempt& attempt, const HttpAnswer& answer) {
-  const bool is_own =
-      answer.complete && !answer.repeats_earlier && !answer.discarded_copy && !answer.was_set_aside;
-  if (isOfListedProcess(attempt) && is_own && !attempt.is_repeat && answer.first_byte_delay >= 0)
+  const bool is_first_execution = isOfListedProcess(attempt) && !attempt.is_repeat;
+  if (!is_first_execution || !answer.complete || answer.first_byte_delay < 0)
+    return;
+  if (answer.was_set_aside)
+    response_times_.recordSetAside(attempt.endpoint, answer.first_byte_delay);
+  else if (answer.repeats_earlier)
+    response_times_.recordRepeated(attempt.endpoint, answer.first_byte_delay);
+  else if (!answer.discarded_copy)
     response_times_.record(attempt.endpoint, answer.first_byte_delay, answer.reused);
 }
 
--- a/src/transport/http/response_times.cpp
+++ b/src/transport/http/response_times.cpp
@@ -25,14 +25,33 @@
   lower(reused ? fastest.on_reused : fastest.on_new, response_time);
 }
 
-Micros ResponseTimes::earliestPlausible(const std::string& endpoint) const {
+void ResponseTimes::recordRepeated(const std::string& endpoint, Micros response_time) {
+  if (response_time >= earliestPlausible(endpoint))
+    lowerBound(endpoint, response_time);
+}
+
+void ResponseTimes::recordSetAside(const std::string& endpoint, Micros response_time) {
+  lowerBound(endpoint, std::max(response_time, earliestPlausible(endpoint)));
+}
+
+void ResponseTimes::lowerBound(const std::string& endpoint, Micros response_time) {
   const auto known = fastest_.find(endpoint);
   if (known == fastest_.end())
-    return 0;
-  const Fastest& fastest = known->second;
+    return;
+  Fastest& fastest = known->second;
+  fastest.most_plausible = std::min(fastest.most_plausible, response_time / kPlausibleSpeedup);
+}
+
+Micros ResponseTimes::earliestPlausible(const std::string& endpoint) const {
+  const auto known = fastest_.find(endpoint);
+  return known == fastest_.end() ? 0 : earliestPlausible(known->second);
+}
+
+Micros ResponseTimes::earliestPlausible(const Fastest& fastest) {
   if (!fastest.on_reused)
-    return *fastest.on_new / kPlausibleSpeedupOverNew;
-  return std::min(*fastest.on_reused, fastest.on_new.value_or(*fastest.on_reused)) / kPlausibleSpeedup;
+    return std::min(fastest.most_plausible, *fastest.on_new / kPlausibleSpeedupOverNew);
+  const Micros response_time = std::min(*fastest.on_reused, fastest.on_new.value_or(*fastest.on_reused));
+  return std::min(fastest.most_plausible, response_time / kPlausibleSpeedup);
 }
 
 Micros ResponseTimes::restAfterResponse(const std::string& endpoint) const {
--- a/tests/transport/response_times_test.cpp
+++ b/tests/transport/response_times_test.cpp
@@ -49,6 +49,34 @@
   EXPECT_EQ(20'000, times.earliestPlausible("e"));
 }
 
+// Guards against a bound that an endpoint has long outrun: where all its responses are the same, none but the
+// first of a connection would count.
+TEST(ResponseTimes, RepeatedResponsesLowerWhatIsPlausible) {
+  ResponseTimes times;
+  times.recordRepeated("unknown", 10'000);
+  EXPECT_EQ(0, times.earliestPlausible("unknown"));
+  times.record("e", 780'000, kNew);
+  times.recordRepeated("e", 780'000);
+  EXPECT_EQ(195'000, times.earliestPlausible("e"));
+  times.recordRepeated("e", 260'000);
+  EXPECT_EQ(130'000, times.earliestPlausible("e"));
+  times.recordRepeated("e", 9'000);  // a late copy
+  EXPECT_EQ(130'000, times.earliestPlausible("e"));
+}
+
+// Guards against setting aside each response of an endpoint that has become much faster, and against a late
+// copy that was taken and ends the protection for good.
+TEST(ResponseTimes, ResponseThatWasSetAsideHalvesWhatIsPlausible) {
+  ResponseTimes times;
+  times.record("e", 780'000, kNew);
+  times.recordSetAside("e", 1'000);
+  EXPECT_EQ(97'500, times.earliestPlausible("e"));
+  times.recordSetAside("e", 1'000);
+  EXPECT_EQ(48'750, times.earliestPlausible("e"));
+  times.recordRepeated("e", 60'000);
+  EXPECT_EQ(30'000, times.earliestPlausible("e"));
+}
+
 // Guards against a rest that costs fast endpoints many connections.
 TEST(ResponseTimes, RestForTheFastestResponseAtMost) {
   ResponseTimes times;
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -148,5 +148,23 @@
                                            End::endpoint_removed),
                          [](const auto& row) { return std::string(nameOf(row.param)); });
 
+// Guards against a bound on early responses that stays where the endpoint's slow first responses left it:
+// each response of an endpoint that has become faster would be set aside.
+TEST(HttpTransport, BoundOnEarlyResponsesFollowsEndpointThatHasBecomeFaster) {
+  LateCopyFixture fixture;  // 1.2 s: a response of the same connection within 300 ms may be a copy
+  constexpr std::chrono::milliseconds kFaster{320}, kFastest{240};
+  for (const auto& [id, response_time] : {std::pair("second", kFaster), std::pair("third", kFastest)}) {
+    const std::size_t before = fixture.outcomes.size();
+    fixture.transport.startAttempt({fixture.message(id), 0, "e", 60'000'000});
+    ManualServer::readRequest(fixture, fixture.fd);
+    fixture.io.restart();
+    fixture.io.run_for(response_time);
+    ManualServer::send(fixture.fd, fixture.kFirstResponse);
+    EXPECT_EQ(AttemptResult::ok, fixture.waitFor(before + 1).result);
+    fixture.rest();
+  }
+  EXPECT_TRUE(fixture.set_aside.empty());
+}
+
 }  // namespace
 }  // namespace grademux
