Outcomes: a rejection that may be another call's is no proof that the message never ran

Cause: a response that was set aside is taken when no other one comes, whatever its status. A late copy of a 429 or 503 at an endpoint that then says nothing made a payment that may be executing one that never ran.

Change: AttemptOutcome::is_unverified. The handover passes it on as an optional field. Cost: a payment that was really rejected so ends by a notice in place of a retry.

Measured: with the fix taken out 16 rows RejectedWithWait* and Unavailable* of SetAsideResponses and the three SetAsideResponse.UnverifiedRejection* failed.

--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -84,6 +84,9 @@
   Micros round_trip = 0;
   std::optional<LimitReport> limit_report;
   bool stale_connection = false;  // the reused connection was reset before any byte of the answer arrived
+  // The response may be a late copy of an earlier one on its connection: the message may have run, whatever
+  // `result` says.
+  bool is_unverified = false;
 };
 // A response to an attempt in flight has arrived that may be a late copy of an earlier one on its connection.
 // The attempt's outcome follows: it has another response, or this one if none comes until the attempt ends.
--- a/src/core/delivery_engine.cpp
+++ b/src/core/delivery_engine.cpp
@@ -256,9 +256,9 @@
   if (action_guard_)
     action_guard_->onAttemptFinished(outcome);
   if (OpenMessage* open = registry_.findOpen(outcome.id)) {
-    const bool never_executed = outcome.result == AttemptResult::rejected ||
-                                outcome.result == AttemptResult::connect_failed ||
-                                outcome.result == AttemptResult::not_sent;
+    const bool never_executed = !outcome.is_unverified && (outcome.result == AttemptResult::rejected ||
+                                                           outcome.result == AttemptResult::connect_failed ||
+                                                           outcome.result == AttemptResult::not_sent);
     if (outcome.already_finished) {
       outcomes_.recordReported(outcome.id, outcome.result, max_lifetime_);
     } else if (never_executed) {
--- a/src/decision/message_table.cpp
+++ b/src/decision/message_table.cpp
@@ -114,7 +114,7 @@
   if (inherited == inherited_messages_.end())
     return;
   const std::string ordering_key = inherited->second;
-  if (mayBeExecuting(outcome.result))
+  if (mayBeExecuting(outcome))
     blockOrderingKey(ordering_key);
   OrderingQueue& queue = ordering_queues_[ordering_key];
   if (--queue.inherited_attempts > 0)
--- a/src/decision/outcome_handler.cpp
+++ b/src/decision/outcome_handler.cpp
@@ -29,7 +29,7 @@
   Attempt& attempt = *in_flight;
   modules_.attempts.finishAttempt(*message, attempt);
   recordEvidence(outcome, attempt);
-  if (mayBeExecuting(outcome.result) && !message->ordering_key.empty())
+  if (mayBeExecuting(outcome) && !message->ordering_key.empty())
     modules_.messages.blockOrderingKey(message->ordering_key);
   if (outcome.already_finished || outcome.result == AttemptResult::ok)
     modules_.messages.closeMessage(*message);
@@ -56,7 +56,7 @@
   if (result == AttemptResult::ok || lost_overdue)
     modules_.connections.recordConnectionUse(*endpoint.destination, attempt.connection_idle_time,
                                              result != AttemptResult::ok);
-  attempt.may_have_executed = mayHaveExecuted(result);
+  attempt.may_have_executed = mayHaveExecuted(outcome);
   if (result == AttemptResult::connect_failed)
     endpoint.connect_failed_at = now;
   if (outcome.stale_connection)
--- a/src/decision/target_state.h
+++ b/src/decision/target_state.h
@@ -158,15 +158,17 @@
   return hasSeparateRoutes(endpoint) ? endpoint.target : endpoint.destination->target;
 }
 
-// Whether an attempt with this result may have been executed.
-inline bool mayHaveExecuted(AttemptResult result) {
-  return result != AttemptResult::rejected && result != AttemptResult::connect_failed &&
-         result != AttemptResult::not_sent;
+// Whether an attempt with this outcome may have been executed.
+inline bool mayHaveExecuted(const AttemptOutcome& outcome) {
+  return outcome.is_unverified ||
+         (outcome.result != AttemptResult::rejected && outcome.result != AttemptResult::connect_failed &&
+          outcome.result != AttemptResult::not_sent);
 }
 
-// Whether an attempt with this result may still be executing.
-inline bool mayBeExecuting(AttemptResult result) {
-  return mayHaveExecuted(result) && result != AttemptResult::ok && result != AttemptResult::error;
+// Whether an attempt with this outcome may still be executing.
+inline bool mayBeExecuting(const AttemptOutcome& outcome) {
+  return mayHaveExecuted(outcome) && outcome.result != AttemptResult::ok &&
+         outcome.result != AttemptResult::error;
 }
 
 // Whether the endpoint may get new attempts; draining and removed endpoints may not.
--- a/src/handover/messages.cpp
+++ b/src/handover/messages.cpp
@@ -27,6 +27,7 @@
 constexpr const char* kRetryAfter = "wait";
 constexpr const char* kRoundTrip = "rtt";
 constexpr const char* kStaleConnection = "stale";
+constexpr const char* kUnverified = "unverified";  // absent: false, as in messages of earlier versions
 constexpr const char* kLimitReport = "report";
 constexpr const char* kRemainingFraction = "left";
 constexpr const char* kRateLimit = "limit";
@@ -49,6 +50,8 @@
               {wire::kRetryAfter, outcome.retry_after},
               {wire::kRoundTrip, outcome.round_trip},
               {wire::kStaleConnection, outcome.stale_connection}};
+  if (outcome.is_unverified)
+    object[wire::kUnverified] = true;
   if (outcome.limit_report)
     object[wire::kLimitReport] = {{wire::kRemainingFraction, outcome.limit_report->remaining_fraction},
                                   {wire::kRateLimit, outcome.limit_report->rate_limit}};
@@ -72,6 +75,7 @@
   outcome.retry_after = integer(value, wire::kRetryAfter);
   outcome.round_trip = integer(value, wire::kRoundTrip);
   outcome.stale_connection = truth(value, wire::kStaleConnection);
+  outcome.is_unverified = !absent(value, wire::kUnverified) && truth(value, wire::kUnverified);
   if (!absent(value, wire::kLimitReport)) {
     const json& report = object(value, wire::kLimitReport);
     outcome.limit_report =
--- a/src/replay/stream_fields.h
+++ b/src/replay/stream_fields.h
@@ -182,6 +182,7 @@
   v("rtt", x.round_trip);
   v("report", x.limit_report);
   v.optionalField("stale", x.stale_connection);
+  v.optionalField("unverified", x.is_unverified);
 }
 GRADEMUX_END;
 GRADEMUX_FIELDS(ResponseSetAside) {
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -177,6 +177,7 @@
     outcome.result = AttemptResult::not_sent;
   outcome.already_finished = answer.how == ExchangeResult::answered &&
                              (answer.status == kDelivered || answer.status == kFinishedEarlier);
+  outcome.is_unverified = answer.was_set_aside && !outcome.already_finished;
   outcome.retry_after = std::max<Micros>(0, retryAfterOf(answer) - answer.set_aside_for);
   outcome.round_trip = std::max<Micros>(1, now - attempt.started_at - answer.set_aside_for);
   outcome.limit_report = limitReportOf(answer);
--- a/tests/decision/set_aside_response_test.cpp
+++ b/tests/decision/set_aside_response_test.cpp
@@ -9,6 +9,58 @@
 
 namespace {
 
+AttemptOutcome makeUnverifiedRejection(SenderDriver& driver, const std::string& id) {
+  AttemptOutcome outcome = driver.makeOutcome(id, 0, AttemptResult::rejected);
+  outcome.is_unverified = true;
+  return outcome;
+}
+
+// Whether a further attempt of the message starts within its deadline.
+bool isRetried(SenderDriver& driver, const std::string& id) {
+  return driver.fireTimersUntilStart(id, driver.now + 20 * kS) > 0;
+}
+
+// Guards against a rejection that was written for another message: a payment that is executing would be sent
+// a second time, or handed back to its client as one that never ran.
+TEST(SetAsideResponse, UnverifiedRejectionCountsAsMayHaveRun) {
+  for (const char* message_class : {"safe", "keyed", "unsafe"}) {
+    SCOPED_TRACE(message_class);
+    const bool is_unsafe = std::string(message_class) == "unsafe";
+    SenderDriver driver;
+    driver.updateEndpoints({makeEndpoint("e", 7)});
+    ASSERT_EQ(Ids{"m"}, driver.submit("m", message_class, 7));
+    driver.advanceTo(100 * kMs).decide({makeUnverifiedRejection(driver, "m")});
+    EXPECT_EQ(is_unsafe ? 1u : 0u, driver.actionsOf<FailMessage>().size());
+    EXPECT_TRUE(driver.actionsOf<RejectMessage>().empty());
+    EXPECT_EQ(!is_unsafe, isRetried(driver, "m"));
+  }
+}
+
+// A key is remembered for a time: what may have run is not sent again after it.
+TEST(SetAsideResponse, UnverifiedRejectionOfKeyedMessageIsNotRetriedAfterItsWindow) {
+  Settings settings = makeSettings();
+  for (MessageClass& message_class : settings.classes)
+    message_class.idempotency_scope = IdempotencyScope::zone;
+  SenderDriver driver(settings);
+  driver.updateEndpoints({makeEndpoint("e", 7)});
+  ASSERT_EQ(Ids{"m"}, driver.submit("m", "keyed", 7));
+  driver.advanceTo(5 * kS + 100 * kMs).decide({makeUnverifiedRejection(driver, "m")});
+  EXPECT_EQ(1u, driver.actionsOf<FailMessage>().size());
+  EXPECT_FALSE(isRetried(driver, "m"));
+}
+
+// The next message of the key may only follow what can't be executing any more.
+TEST(SetAsideResponse, UnverifiedRejectionBlocksTheOrderingKey) {
+  for (const bool is_unverified : {true, false}) {
+    OrderedDriver driver;
+    ASSERT_EQ(Ids{"m"}, driver.submit("m", "unsafe", 1, "key"));
+    AttemptOutcome outcome = makeUnverifiedRejection(driver, "m");
+    outcome.is_unverified = is_unverified;
+    driver.decide({outcome});
+    EXPECT_EQ(is_unverified, !driver.actionsOf<OrderingKeyBlocked>().empty());
+  }
+}
+
 // Guards against calls while a told wait runs whose response was set aside (review/REPORT-2.md: a call 245 ms
 // into a wait of 400 ms). The wait counts once, not again with the outcome.
 TEST(SetAsideResponse, RetryAfterCountsBeforeTheOutcome) {
--- a/tests/handover/messages_test.cpp
+++ b/tests/handover/messages_test.cpp
@@ -43,6 +43,10 @@
   EXPECT_EQ(outcome.retry_after, parsed.retry_after);
   EXPECT_EQ(25, parsed.limit_report->rate_limit);
   EXPECT_TRUE(parsed.already_finished && parsed.stale_connection);
+  EXPECT_FALSE(parsed.is_unverified);
+  outcome.is_unverified = true;
+  const Message unverified = parseMessage(serialize(AttemptFinished{outcome}));
+  EXPECT_TRUE(std::get<AttemptFinished>(unverified).outcome.is_unverified);
 }
 
 // The expected lines are those that processes of earlier versions write.
--- a/tests/transport/late_copies_test.cpp
+++ b/tests/transport/late_copies_test.cpp
@@ -68,6 +68,7 @@
     const AttemptOutcome outcome = fixture.waitFor(2);
     EXPECT_EQ(whole ? AttemptResult::rejected : AttemptResult::cancelled, outcome.result);
     EXPECT_FALSE(outcome.already_finished);
+    EXPECT_FALSE(outcome.is_unverified);
   }
 }
 
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -99,8 +99,9 @@
 };
 
 bool mayHaveRun(const AttemptOutcome& outcome) {
-  return outcome.result == AttemptResult::reset || outcome.result == AttemptResult::timeout ||
-         outcome.result == AttemptResult::cancelled || outcome.result == AttemptResult::error;
+  return outcome.is_unverified || outcome.result == AttemptResult::reset ||
+         outcome.result == AttemptResult::timeout || outcome.result == AttemptResult::cancelled ||
+         outcome.result == AttemptResult::error;
 }
 
 class SetAsideResponses : public ::testing::TestWithParam<std::tuple<Arrived, End>> {};
@@ -116,6 +117,7 @@
   if (is_ok && !has_other_response) {
     EXPECT_EQ(AttemptResult::ok, ended.outcome.result);
     EXPECT_TRUE(ended.outcome.already_finished);
+    EXPECT_FALSE(ended.outcome.is_unverified);
   } else {
     EXPECT_FALSE(ended.outcome.already_finished);
     EXPECT_TRUE(mayHaveRun(ended.outcome));
@@ -130,7 +132,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Table, SetAsideResponses,
-                         ::testing::Combine(::testing::Values(Arrived::ok, Arrived::two_oks),
+                         ::testing::Combine(::testing::Values(Arrived::ok, Arrived::two_oks,
+                                                              Arrived::rejected_with_wait,
+                                                              Arrived::unavailable),
                                             ::testing::Values(End::limit, End::cancelled_then_limit,
                                                               End::cancelled_then_own_response, End::close,
                                                               End::reset, End::part_of_own_response,
