HTTP: malformed bytes behind a response that is set aside don't make it forgotten

Cause: any byte behind it counted as the beginning of the request's own response; the exchange ended as broken, and a message whose 200 had come was called again.

Change: only bytes that can begin a response, or an interim response, count as another one. Where both say 200, a part of the second takes nothing from the first.

Measured: three rows *MalformedBytes of SetAsideResponses failed with the fix taken out.

--- a/src/net/answer_reader.cpp
+++ b/src/net/answer_reader.cpp
@@ -2,6 +2,7 @@
 #include "answer_reader.h"
 
 #include <boost/asio/buffer.hpp>
+#include <string_view>
 
 #include "../core/message.h"
 #include "../core/release_buffer.h"
@@ -85,6 +86,12 @@
          line.compare(8, 4, " 200") == 0 && (line[12] == ' ' || line[12] == '\r' || line[12] == '\n');
 }
 
+bool AnswerReader::hasBegunResponse() const {
+  constexpr std::string_view kVersionPrefix = "HTTP/1.";
+  const std::string_view begun = std::string_view(first_line_).substr(0, kVersionPrefix.size());
+  return interim_responses_ > 0 || (!begun.empty() && begun == kVersionPrefix.substr(0, begun.size()));
+}
+
 bool AnswerReader::isHeadComplete() const {
   return parser_->is_header_done() && !isInterim();
 }
--- a/src/net/answer_reader.h
+++ b/src/net/answer_reader.h
@@ -29,6 +29,9 @@
 
   // Whether the status line is well-formed and has status 200, regardless of the bytes after it.
   bool hasStatus200() const;
+  // Whether an interim response has come, or the bytes so far can be the beginning of a response; false for
+  // other bytes, and if there are none.
+  bool hasBegunResponse() const;
   // The status line of the response that is read, without its end, at most kFirstLineLimit bytes. May be
   // malformed or incomplete.
   std::string statusLine() const { return first_line_.substr(0, first_line_.find_first_of("\r\n")); }
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -24,7 +24,7 @@
 // The limit for the rest of a 429 response, in microseconds from its complete head on: the Retry-After time
 // runs from when the response was written, and no other attempt learns of it until the exchange is finished.
 constexpr Micros kRetryAfterResponseLimit = 30'000;
-constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kOk = 200, kTooManyRequests = 429;
 
 std::string toLower(std::string text) {
   for (char& c : text)
@@ -294,8 +294,14 @@
     finish(complete || isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::broken, complete);
   }
 
-  // The response that was set aside was the request's own after all if no other one has begun.
-  bool takesSetAside() const { return set_aside && !response_started; }
+  // Whether the response that is set aside is taken for the request's own: no other one has come. Bytes that
+  // begin no response are none, and neither is the beginning of a second 200.
+  bool takesSetAside(bool complete) const {
+    if (!set_aside || complete)
+      return false;
+    const bool repeats_status = set_aside->head_status == static_cast<int>(kOk) && reader->hasStatus200();
+    return !reader->hasBegunResponse() || repeats_status;
+  }
 
   HttpAnswer takeSetAside() const {
     HttpAnswer answer = *set_aside;
@@ -307,7 +313,7 @@
   void finish(ExchangeResult how, bool complete = false) {
     ++exchange_number;
     timer.cancel();
-    const HttpAnswer answer = takesSetAside() ? takeSetAside() : buildAnswer(how, complete);
+    const HttpAnswer answer = takesSetAside(complete) ? takeSetAside() : buildAnswer(how, complete);
     if (keep)
       history.add(response_digest);
     reader.reset();
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -19,6 +19,7 @@
   cancelled_then_own_response,
   close,
   reset,
+  malformed_bytes,
   part_of_own_response,
   endpoint_removed,
   endpoint_replaced
@@ -31,8 +32,8 @@
 
 const char* nameOf(End end) {
   constexpr const char* kNames[] = {
-      "Limit", "CancelledThenLimit", "CancelledThenOwnResponse", "Close",
-      "Reset", "PartOfOwnResponse",  "EndpointRemoved",          "EndpointReplaced"};
+      "Limit",          "CancelledThenLimit", "CancelledThenOwnResponse", "Close",           "Reset",
+      "MalformedBytes", "PartOfOwnResponse",  "EndpointRemoved",          "EndpointReplaced"};
   return kNames[static_cast<int>(end)];
 }
 
@@ -78,6 +79,8 @@
         return;
       case End::reset:
         return resetConnection();
+      case End::malformed_bytes:
+        return ManualServer::send(fd, "\x16\x03 200 \r\n");
       case End::part_of_own_response:
         ManualServer::send(fd, "HTTP/1.1 500 Own\r\nContent-");
         ::shutdown(fd, SHUT_WR);
@@ -131,18 +134,16 @@
   EXPECT_EQ(has_wait ? kWait : 0, ended.set_aside[0].retry_after);
 }
 
-INSTANTIATE_TEST_SUITE_P(Table, SetAsideResponses,
-                         ::testing::Combine(::testing::Values(Arrived::ok, Arrived::two_oks,
-                                                              Arrived::rejected_with_wait,
-                                                              Arrived::unavailable),
-                                            ::testing::Values(End::limit, End::cancelled_then_limit,
-                                                              End::cancelled_then_own_response, End::close,
-                                                              End::reset, End::part_of_own_response,
-                                                              End::endpoint_removed, End::endpoint_replaced)),
-                         [](const auto& row) {
-                           return std::string(nameOf(std::get<Arrived>(row.param))) +
-                                  nameOf(std::get<End>(row.param));
-                         });
+INSTANTIATE_TEST_SUITE_P(
+    Table, SetAsideResponses,
+    ::testing::Combine(
+        ::testing::Values(Arrived::ok, Arrived::two_oks, Arrived::rejected_with_wait, Arrived::unavailable),
+        ::testing::Values(End::limit, End::cancelled_then_limit, End::cancelled_then_own_response, End::close,
+                          End::reset, End::malformed_bytes, End::part_of_own_response, End::endpoint_removed,
+                          End::endpoint_replaced)),
+    [](const auto& row) {
+      return std::string(nameOf(std::get<Arrived>(row.param))) + nameOf(std::get<End>(row.param));
+    });
 
 class PartsOfResponses : public ::testing::TestWithParam<End> {};
 
@@ -156,7 +157,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, PartsOfResponses,
                          ::testing::Values(End::limit, End::cancelled_then_limit, End::close, End::reset,
-                                           End::endpoint_removed),
+                                           End::malformed_bytes, End::endpoint_removed),
                          [](const auto& row) { return std::string(nameOf(row.param)); });
 
 // Guards against a bound on early responses that stays where the endpoint's slow first responses left it:
