HTTP: a part of an early 200 is believed where no 200 came before on the connection

Cause: a part of a response that begins too early confirmed nothing, though there was no response that it could be a late copy of: a delivered message was called again, or ended as failed.

Change: the history of a connection knows statuses beside digests.

Measured: HttpTransport.BelievesEarlyPartOf200WhereNo200CameBefore failed with the fix taken out.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -254,7 +254,10 @@
   }
 
   // Whether the part of a response that has arrived confirms that the request was executed.
-  bool isConfirmedByStatus() const { return reader->hasStatus200() && !isImplausiblyEarly(); }
+  bool isConfirmedByStatus() const {
+    const bool may_be_copy = isImplausiblyEarly() && history.containsStatus(kOk);
+    return reader->hasStatus200() && !may_be_copy;
+  }
 
   // Sets the likely late copy aside and goes on with the bytes after it. The connection is not used again.
   void setResponseAside(std::uint64_t exchange) {
@@ -315,7 +318,7 @@
     timer.cancel();
     const HttpAnswer answer = takesSetAside(complete) ? takeSetAside() : buildAnswer(how, complete);
     if (keep)
-      history.add(response_digest);
+      history.add(response_digest, reader->head().result_int());
     reader.reset();
     clearInput();
     releaseBuffer(out);
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -30,8 +30,9 @@
   // On a reused connection, a response that begins sooner than this after the last byte was written and
   // repeats an earlier response of the connection is likely a late copy of it. It is set aside until another
   // response comes, which is then the request's own; it is taken only if none has begun when the exchange
-  // ends by its limit or by the end of the connection. A part of such a response confirms nothing.
-  // Microseconds; 0: every response is taken at once.
+  // ends by its limit or by the end of the connection. A part of a response that begins so soon confirms
+  // nothing, unless no earlier response of the connection has its status. Microseconds; 0: every response is
+  // taken at once.
   Micros earliest_response = 0;
   // Called when a response is set aside, with that response; may be empty. Must not use the connection.
   std::function<void(const HttpAnswer&)> on_set_aside;
--- a/src/net/response_history.cpp
+++ b/src/net/response_history.cpp
@@ -30,14 +30,20 @@
   return extendDigest(digest, response.body());
 }
 
-void ResponseHistory::add(std::uint64_t digest) {
-  digests_.push_back(digest);
-  if (digests_.size() > kMaxResponses)
-    digests_.pop_front();
+void ResponseHistory::add(std::uint64_t digest, unsigned status) {
+  responses_.push_back({digest, status});
+  if (responses_.size() > kMaxResponses)
+    responses_.pop_front();
 }
 
 bool ResponseHistory::contains(std::uint64_t digest) const {
-  return std::find(digests_.begin(), digests_.end(), digest) != digests_.end();
+  return std::any_of(responses_.begin(), responses_.end(),
+                     [digest](const Response& response) { return response.digest == digest; });
+}
+
+bool ResponseHistory::containsStatus(unsigned status) const {
+  return std::any_of(responses_.begin(), responses_.end(),
+                     [status](const Response& response) { return response.status == status; });
 }
 
 }  // namespace grademux
--- a/src/net/response_history.h
+++ b/src/net/response_history.h
@@ -1,5 +1,5 @@
-// Digests of the latest responses of one HTTP connection. A response that repeats one of them may be a second
-// copy, which the peer wrote late. No I/O.
+// Digests and statuses of the latest responses of one HTTP connection. A response that repeats one of them
+// may be a second copy, which the peer wrote late. No I/O.
 #pragma once
 
 #include <boost/beast/http.hpp>
@@ -16,15 +16,22 @@
 
 class ResponseHistory {
  public:
-  // Adds the digest of a complete response; the oldest of more than kMaxResponses is forgotten.
-  void add(std::uint64_t digest);
+  // Adds a complete response; the oldest of more than kMaxResponses is forgotten.
+  void add(std::uint64_t digest, unsigned status);
   bool contains(std::uint64_t digest) const;
-  void clear() { digests_.clear(); }
+  // Whether a part of a response with this status can be the beginning of a copy.
+  bool containsStatus(unsigned status) const;
+  void clear() { responses_.clear(); }
 
  private:
   static constexpr std::size_t kMaxResponses = 8;
 
-  std::deque<std::uint64_t> digests_;
+  struct Response {
+    std::uint64_t digest = 0;
+    unsigned status = 0;
+  };
+
+  std::deque<Response> responses_;
 };
 
 }  // namespace grademux
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -160,6 +160,24 @@
                                            End::malformed_bytes, End::endpoint_removed),
                          [](const auto& row) { return std::string(nameOf(row.param)); });
 
+// Guards against a delivery that is not believed because it came early, on a connection on which no 200 came
+// that it could be a copy of.
+TEST(HttpTransport, BelievesEarlyPartOf200WhereNo200CameBefore) {
+  for (const bool cancelled : {true, false}) {
+    LateCopyFixture fixture(answer("503 Full"));
+    fixture.startSecondAttempt();
+    ManualServer::send(fixture.fd, answer("200 OK").substr(0, kStatusLineCut));
+    fixture.rest();
+    if (cancelled)
+      fixture.transport.cancelAttempt("second", 0);
+    else
+      ::shutdown(fixture.fd, SHUT_WR);
+    const AttemptOutcome outcome = fixture.waitFor(2);
+    EXPECT_EQ(AttemptResult::ok, outcome.result);
+    EXPECT_TRUE(outcome.already_finished);
+  }
+}
+
 // Guards against a bound on early responses that stays where the endpoint's slow first responses left it:
 // each response of an endpoint that has become faster would be set aside.
 TEST(HttpTransport, BoundOnEarlyResponsesFollowsEndpointThatHasBecomeFaster) {
