HTTP: a response that is set aside is taken 20 ms before the limit of its attempt

Cause: the limit may be the message's deadline, and begins a moment after the decision: the message ended undelivered there, just before its 200 was taken.

Measured: HttpTransport.TakesResponseSetAsideBeforeTheLimit failed with the fix taken out.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -24,6 +24,9 @@
 // The limit for the rest of a 429 response, in microseconds from its complete head on: the Retry-After time
 // runs from when the response was written, and no other attempt learns of it until the exchange is finished.
 constexpr Micros kRetryAfterResponseLimit = 30'000;
+// A response that is set aside is taken this long before the limit of its exchange, in microseconds: the
+// limit may be the deadline of the message, which would end undelivered there.
+constexpr Micros kSettleMargin = 20'000;
 constexpr unsigned kOk = 200, kTooManyRequests = 429;
 
 std::string toLower(std::string text) {
@@ -269,11 +272,14 @@
       response_started = true;
       first_byte_at = Clock::now();
     }
-    setTimer(exchange, remaining(deadline));
+    setTimer(exchange, timeLeft());
     if (on_set_aside)
       on_set_aside(*set_aside);
   }
 
+  // The time until the exchange ends without another response.
+  Micros timeLeft() const { return remaining(deadline) - (set_aside ? kSettleMargin : 0); }
+
   // Limits the time for the rest of a partial response. Between an interim response and the final one, the
   // limit is that of the exchange: the endpoint is still executing the request.
   void setResponseTimer(std::uint64_t exchange) {
@@ -284,11 +290,11 @@
         reader->isHeadComplete() && reader->head().result_int() == kTooManyRequests;
     if (has_retry_after_head && !retry_after_received) {
       retry_after_received = true;
-      setTimer(exchange, std::min(kRetryAfterResponseLimit, remaining(deadline)));
+      setTimer(exchange, std::min(kRetryAfterResponseLimit, timeLeft()));
     } else if (has_begun) {
-      setTimer(exchange, std::min(kResponseLimit, remaining(deadline)));
+      setTimer(exchange, std::min(kResponseLimit, timeLeft()));
     } else if (was_interim) {
-      setTimer(exchange, remaining(deadline));
+      setTimer(exchange, timeLeft());
     }
   }
 
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -178,6 +178,25 @@
   }
 }
 
+// Guards against a delivery that is reported only at the limit, which may be the message's deadline: the
+// message would end undelivered at the same moment.
+TEST(HttpTransport, TakesResponseSetAsideBeforeTheLimit) {
+  constexpr std::chrono::milliseconds kIterationsOfTheEngine{10};
+  LateCopyFixture fixture;
+  fixture.transport.startAttempt({fixture.message("second"), 0, "e", kShortLimit});
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::microseconds(kShortLimit);
+  ManualServer::readRequest(fixture, fixture.fd);
+  ManualServer::send(fixture.fd, fixture.kFirstResponse);
+  std::size_t outcomes_in_time = 0;
+  boost::asio::steady_timer shortly_before(fixture.io, limit - kIterationsOfTheEngine);
+  shortly_before.async_wait(
+      [&](const boost::system::error_code&) { outcomes_in_time = fixture.outcomes.size(); });
+  fixture.io.restart();
+  fixture.io.run_until(limit);
+  EXPECT_EQ(AttemptResult::ok, fixture.waitFor(2).result);
+  EXPECT_EQ(2u, outcomes_in_time);
+}
+
 // Guards against a bound on early responses that stays where the endpoint's slow first responses left it:
 // each response of an endpoint that has become faster would be set aside.
 TEST(HttpTransport, BoundOnEarlyResponsesFollowsEndpointThatHasBecomeFaster) {
