Shutdown: a response that is set aside is settled before the process ends

Cause: after SIGTERM, attempts without an outcome are left to the next process as possibly executed after 3.4 s, also those whose 200 was set aside: the next process called again, or reported a payment as failed. The same in a process that has handed over.

Change: at the end of that time such attempts end as at their limit, and are recorded, or reported to the new process, before the process ends.

--- a/src/daemon/graceful_shutdown.cpp
+++ b/src/daemon/graceful_shutdown.cpp
@@ -1,6 +1,8 @@
 // Graceful shutdown of the process; see graceful_shutdown.h.
 #include "graceful_shutdown.h"
 
+#include <utility>
+
 #include "../core/clock.h"
 #include "../log/log.h"
 #include "notify.h"
@@ -49,6 +51,10 @@
 
 void GracefulShutdown::poll() {
   const Micros elapsed = hasBegun() ? monotonicNow() - started_at_ : 0;
+  if (elapsed >= kShutdownTimeout && !std::exchange(has_settled_, true)) {
+    components_.transport->settleResponsesSetAside();
+    return schedulePoll();  // the engine records the outcomes meanwhile
+  }
   if (closing_at_ == 0 && (isQuiescent(elapsed) || elapsed >= kShutdownTimeout)) {
     closing_at_ = monotonicNow();
     if (components_.platform_listener)
--- a/src/daemon/graceful_shutdown.h
+++ b/src/daemon/graceful_shutdown.h
@@ -33,8 +33,9 @@
   SenderComponents& components_;
   boost::asio::signal_set& signals_;
   boost::asio::steady_timer timer_;
-  Micros started_at_ = 0;  // monotonic; 0: not begun
-  Micros closing_at_ = 0;  // monotonic, when the last connections were closed; 0: not yet
+  Micros started_at_ = 0;     // monotonic; 0: not begun
+  bool has_settled_ = false;  // the responses that were set aside
+  Micros closing_at_ = 0;     // monotonic, when the last connections were closed; 0: not yet
 };
 
 }  // namespace grademux
--- a/src/daemon/outgoing_handover.cpp
+++ b/src/daemon/outgoing_handover.cpp
@@ -35,6 +35,7 @@
     components_.transport->cancelAttempt(attempt.message_id, attempt.attempt);
   };
   callbacks.cancel_all = [this] {
+    components_.transport->settleResponsesSetAside();
     for (const AttemptId& attempt : components_.transport->unreportedAttempts())
       components_.transport->cancelAttempt(attempt.message_id, attempt.attempt);
   };
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -377,6 +377,14 @@
     return last;
   }
 
+  HttpAnswer settle() {
+    HttpAnswer last;
+    done = [&last](const HttpAnswer& answer) { last = answer; };
+    if (!readAvailable(exchange_number))
+      finish(isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::timed_out);
+    return last;
+  }
+
   void close() {
     error_code ignored;
     open = false;
@@ -411,6 +419,14 @@
   return state_->cancel();
 }
 
+bool HttpConnection::hasResponseSetAside() const {
+  return state_->done && state_->set_aside;
+}
+
+HttpAnswer HttpConnection::settle() {
+  return state_->settle();
+}
+
 bool HttpConnection::isWritten() const {
   return state_->written;
 }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -32,6 +32,10 @@
   // nothing if a response is set aside (HttpRequest::earliest_response): the exchange goes on to its end.
   // Requires a pending exchange.
   std::optional<HttpAnswer> cancel();
+  bool hasResponseSetAside() const;  // of the pending exchange
+  // Ends the pending exchange now, as its limit would, and returns its result; its Done is not called.
+  // Requires hasResponseSetAside().
+  HttpAnswer settle();
   // Whether the last byte of the current request has been passed to the kernel, so that the peer may receive
   // it.
   bool isWritten() const;
--- a/src/transport/http/http_transport.cpp
+++ b/src/transport/http/http_transport.cpp
@@ -259,16 +259,28 @@
     return;
   const std::optional<HttpAnswer> last = known->second.connection->cancel();
   if (last)
-    finishCancelled(known, *last);
+    finishEarly(known, *last, true);
 }
 
-// Reports an attempt whose exchange was cancelled.
-void HttpTransport::finishCancelled(std::map<AttemptId, Attempt>::iterator known, const HttpAnswer& last) {
+void HttpTransport::settleResponsesSetAside() {
+  std::vector<AttemptId> settled;
+  for (const auto& [id, attempt] : attempts_)
+    if (attempt.connection->hasResponseSetAside())
+      settled.push_back(id);
+  for (const AttemptId& id : settled) {
+    const auto known = attempts_.find(id);
+    finishEarly(known, known->second.connection->settle(), false);
+  }
+}
+
+// Reports an attempt whose exchange was ended here.
+void HttpTransport::finishEarly(std::map<AttemptId, Attempt>::iterator known, const HttpAnswer& last,
+                                bool cancelled) {
   const AttemptId id = known->first;
   Attempt attempt = std::move(known->second);
   attempts_.erase(known);
   AttemptOutcome outcome = finishAttempt(id, attempt, last);
-  if (last.how != ExchangeResult::answered)
+  if (cancelled && last.how != ExchangeResult::answered)
     outcome.result = AttemptResult::cancelled;
   logAttemptFinished(id, attempt.endpoint, outcome.result, last);
   const Micros retry_after = outcome.retry_after;
--- a/src/transport/http/http_transport.h
+++ b/src/transport/http/http_transport.h
@@ -48,6 +48,8 @@
   // attempt; also from within cancelAttempt(). Must not use the transport.
   using OnResponseSetAside = std::function<void(ResponseSetAside)>;
   void setOnResponseSetAside(OnResponseSetAside on_set_aside) { on_set_aside_ = std::move(on_set_aside); }
+  // Ends the attempts that have such a response, as their limits would: the process ends.
+  void settleResponsesSetAside();
   // Idle connections over the new limits are closed as they are used or expire.
   void setLimits(Limits limits) { limits_ = limits; }
 
@@ -79,7 +81,7 @@
   void recordResponseTime(const Attempt& attempt, const HttpAnswer& answer);
   void onResponseSetAside(const AttemptId& id, const std::string& endpoint, const HttpAnswer& answer);
   void applyRetryAfter(const std::string& endpoint, Micros retry_after);
-  void finishCancelled(std::map<AttemptId, Attempt>::iterator known, const HttpAnswer& last);
+  void finishEarly(std::map<AttemptId, Attempt>::iterator known, const HttpAnswer& last, bool cancelled);
   void postOutcome(AttemptOutcome outcome);
   bool isOfListedProcess(const Attempt& attempt) const;
   void returnToPool(Attempt& attempt);
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -22,7 +22,8 @@
   malformed_bytes,
   part_of_own_response,
   endpoint_removed,
-  endpoint_replaced
+  endpoint_replaced,
+  settled
 };
 
 const char* nameOf(Arrived arrived) {
@@ -31,9 +32,16 @@
 }
 
 const char* nameOf(End end) {
-  constexpr const char* kNames[] = {
-      "Limit",          "CancelledThenLimit", "CancelledThenOwnResponse", "Close",           "Reset",
-      "MalformedBytes", "PartOfOwnResponse",  "EndpointRemoved",          "EndpointReplaced"};
+  constexpr const char* kNames[] = {"Limit",
+                                    "CancelledThenLimit",
+                                    "CancelledThenOwnResponse",
+                                    "Close",
+                                    "Reset",
+                                    "MalformedBytes",
+                                    "PartOfOwnResponse",
+                                    "EndpointRemoved",
+                                    "EndpointReplaced",
+                                    "Settled"};
   return kNames[static_cast<int>(end)];
 }
 
@@ -89,6 +97,8 @@
         return transport.removeEndpoint("e");
       case End::endpoint_replaced:
         return transport.setAddress("e", loopback::closedAddress(), 7);
+      case End::settled:
+        return transport.settleResponsesSetAside();
     }
   }
 
@@ -140,7 +150,7 @@
         ::testing::Values(Arrived::ok, Arrived::two_oks, Arrived::rejected_with_wait, Arrived::unavailable),
         ::testing::Values(End::limit, End::cancelled_then_limit, End::cancelled_then_own_response, End::close,
                           End::reset, End::malformed_bytes, End::part_of_own_response, End::endpoint_removed,
-                          End::endpoint_replaced)),
+                          End::endpoint_replaced, End::settled)),
     [](const auto& row) {
       return std::string(nameOf(std::get<Arrived>(row.param))) + nameOf(std::get<End>(row.param));
     });
