--- a/tests/daemon/set_aside_response_test.cpp
+++ b/tests/daemon/set_aside_response_test.cpp
@@ -55,7 +55,7 @@
 
 // Guards against a delivery that the process forgets as it ends: the next one would call with the message
 // again, or report a payment as failed. After SIGKILL the message may have run.
-TEST_P(ProcessWithResponseSetAside, HandsItOnAsDeliveryWhereItCan) {
+TEST_P(ProcessWithResponseSetAside, IsReportedAsDeliveredUnlessKilled) {
   const auto [end, message_class] = GetParam();
   const bool is_payment = std::string(message_class) == "payment";
   endProcess(end);
--- a/tests/decision/set_aside_response_test.cpp
+++ b/tests/decision/set_aside_response_test.cpp
@@ -21,7 +21,7 @@
 }
 
 // Guards against a rejection that was written for another message: a payment that is executing would be sent
-// a second time, or handed back to its client as one that never ran.
+// a second time, or returned to its client as one that never ran.
 TEST(SetAsideResponse, UnverifiedRejectionCountsAsMayHaveRun) {
   for (const char* message_class : {"safe", "keyed", "unsafe"}) {
     SCOPED_TRACE(message_class);
@@ -61,8 +61,8 @@
   }
 }
 
-// Guards against calls while a told wait runs whose response was set aside (review/REPORT-2.md: a call 245 ms
-// into a wait of 400 ms). The wait counts once, not again with the outcome.
+// Guards against calls while a Retry-After runs whose response was set aside (review/REPORT-2.md: a call 245
+// ms into a wait of 400 ms). The wait counts once, not again with the outcome.
 TEST(SetAsideResponse, RetryAfterCountsBeforeTheOutcome) {
   SenderDriver driver;
   driver.updateEndpoints({makeEndpoint("e", 7)});
--- a/tests/transport/set_aside_responses_test.cpp
+++ b/tests/transport/set_aside_responses_test.cpp
@@ -21,6 +21,7 @@
   reset,
   malformed_bytes,
   part_of_own_response,
+  endpoint_drained,
   endpoint_removed,
   endpoint_replaced,
   settled
@@ -39,6 +40,7 @@
                                     "Reset",
                                     "MalformedBytes",
                                     "PartOfOwnResponse",
+                                    "EndpointDrained",
                                     "EndpointRemoved",
                                     "EndpointReplaced",
                                     "Settled"};
@@ -53,10 +55,17 @@
   return answer("200 OK", "X-Pressure: x0=0.4,x1=25\r\n", "done");
 }
 
+AttemptResult repeatedResult(Arrived arrived) {
+  const bool is_rejection = arrived == Arrived::rejected_with_wait || arrived == Arrived::unavailable;
+  return is_rejection ? AttemptResult::rejected : AttemptResult::ok;
+}
+
 struct EndedAttempt : LateCopyFixture {
-  EndedAttempt(Arrived arrived, End end) : LateCopyFixture(repeatedResponse(arrived)) {
+  EndedAttempt(Arrived arrived, End end)
+      : LateCopyFixture(repeatedResponse(arrived), repeatedResult(arrived)) {
     const bool awaits_limit = end == End::limit || end == End::cancelled_then_limit ||
-                              end == End::endpoint_removed || end == End::endpoint_replaced;
+                              end == End::endpoint_drained || end == End::endpoint_removed ||
+                              end == End::endpoint_replaced;
     startSecondAttempt(awaits_limit ? kShortLimit : 60'000'000);
     sendRepeated(arrived);
     rest();
@@ -93,6 +102,8 @@
         ManualServer::send(fd, "HTTP/1.1 500 Own\r\nContent-");
         ::shutdown(fd, SHUT_WR);
         return;
+      case End::endpoint_drained:
+        return transport.cancelUnwritten("e");
       case End::endpoint_removed:
         return transport.removeEndpoint("e");
       case End::endpoint_replaced:
@@ -120,8 +131,8 @@
 class SetAsideResponses : public ::testing::TestWithParam<std::tuple<Arrived, End>> {};
 
 // Guards against a 200 that is forgotten when its attempt ends in another way than by the limit: the message
-// is called again after its delivery (review/8). The same for a wait, and for a rejection that can't be told
-// from a late copy: a payment that may be executing would be sent again.
+// is called again after its delivery (review/8). The same for a wait, and for a rejection that may be a
+// late copy: a payment that may be executing would be sent again.
 TEST_P(SetAsideResponses, AreDeliveryMayHaveRunOrWaitWhateverEndsTheAttempt) {
   const auto [arrived, end] = GetParam();
   const EndedAttempt ended(arrived, end);
@@ -149,8 +160,8 @@
     ::testing::Combine(
         ::testing::Values(Arrived::ok, Arrived::two_oks, Arrived::rejected_with_wait, Arrived::unavailable),
         ::testing::Values(End::limit, End::cancelled_then_limit, End::cancelled_then_own_response, End::close,
-                          End::reset, End::malformed_bytes, End::part_of_own_response, End::endpoint_removed,
-                          End::endpoint_replaced, End::settled)),
+                          End::reset, End::malformed_bytes, End::part_of_own_response, End::endpoint_drained,
+                          End::endpoint_removed, End::endpoint_replaced, End::settled)),
     [](const auto& row) {
       return std::string(nameOf(std::get<Arrived>(row.param))) + nameOf(std::get<End>(row.param));
     });
@@ -174,7 +185,7 @@
 // that it could be a copy of.
 TEST(HttpTransport, BelievesEarlyPartOf200WhereNo200CameBefore) {
   for (const bool cancelled : {true, false}) {
-    LateCopyFixture fixture(answer("503 Full"));
+    LateCopyFixture fixture(answer("503 Full"), AttemptResult::rejected);
     fixture.startSecondAttempt();
     ManualServer::send(fixture.fd, answer("200 OK").substr(0, kStatusLineCut));
     fixture.rest();
--- a/tests/transport/transport_fixture.h
+++ b/tests/transport/transport_fixture.h
@@ -99,7 +99,8 @@
 // once after a request on the same connection can't be the response to that request.
 struct LateCopyFixture : TransportFixture {
   explicit LateCopyFixture(const std::string& first_response = answer("200 OK",
-                                                                      "X-Pressure: x0=0.4,x1=25\r\n", "done"))
+                                                                      "X-Pressure: x0=0.4,x1=25\r\n", "done"),
+                           AttemptResult first_result = AttemptResult::ok)
       : kFirstResponse(first_response) {
     transport.setOnResponseSetAside([this](const ResponseSetAside& response) {
       EXPECT_EQ("second", response.id);
@@ -109,7 +110,7 @@
     io.restart();
     io.run_for(kResponseTime);
     ManualServer::send(fd, kFirstResponse);
-    waitFor(1);
+    EXPECT_EQ(first_result, waitFor(1).result);
     EXPECT_EQ(1u, transport.idleConnections());
     rest();
   }
