--- a/model/fleet.cpp
+++ b/model/fleet.cpp
@@ -400,6 +400,9 @@
       row.push_back(rounded(at[i]));
     lost_over_time[nameOf(static_cast<Cause>(i))] = std::move(row);
   }
+  double slow_start_peak = 0;
+  for (const auto& partner : partners)
+    slow_start_peak = std::max(slow_start_peak, partner->peakBudgetUsed());
   const double offered = std::max(1e-9, ledger.offered);
   return {{"world", world.name},
           {"policy", choice.policy->name},
@@ -414,6 +417,7 @@
           {"calls", calls},
           {"refusals", refusals},
           {"handshakes", handshakes},
+          {"slow_start_peak", rounded(slow_start_peak)},
           {"steps", clock.steps()},
           {"lost", lost},
           {"broken", checker.total()},
--- a/model/partner.h
+++ b/model/partner.h
@@ -57,6 +57,8 @@
   bool room(Micros now, int others) const;
   // Of all that reach it, refused ones too, while it is cold.
   Fall weigh(int sender, Micros now);
+  // Largest part of its slow start budget that was used at any time; over 1 it fell over.
+  double peakBudgetUsed() const { return peak_budget_used_; }
   // The sender has heard of a call that failed, or was refused, in an outage.
   void learned(int sender) { knows_.insert(sender); }
 
@@ -82,6 +84,7 @@
   Micros free_at_ = 0;                          // when its queue is worked off
   std::deque<std::pair<Micros, int>> reached_;  // in the last fall span: when, by whom
   std::set<int> knows_;
+  double peak_budget_used_ = 0;
 };
 
 }  // namespace grademux::model
