Log: what decided when an attempt was made; start and end of slow start

Neither log nor figures could tell why a cold destination was called. attempt.started (debug) names the pacing: rate_limit, outage_trial, slow_start or unpaced; destination.health_changed and destination.health_restored tell when a destination went down and came back, and how long its slow start lasts. The model counts calls that reach a cold partner by the same reasons (cold_calls).

--- a/include/grademux/sender.h
+++ b/include/grademux/sender.h
@@ -106,10 +106,14 @@
                            LearnedPool, ExportLearned, SettingsChanged, OrderingKeyBlocked, ResponseSetAside>;
 
 // ---- actions
+// Which limit decided when an attempt may start: the usual rate limit, the slow start budget of a target that
+// is down or that has come back, or none, as the message could not have waited for the rate limit.
+enum class AttemptPacing { rate_limit, outage_trial, slow_start, unpaced };
 struct StartAttempt {
   std::string id, endpoint;
   Micros timeout = 0;
   Micros write_within = 0;  // a retry that is not fully written within this span is dropped; 0: no limit
+  AttemptPacing pacing = AttemptPacing::rate_limit;  // for logs and figures alone; not recorded
 };
 struct CancelAttempt {
   std::string id;
--- a/model/fleet.h
+++ b/model/fleet.h
@@ -88,6 +88,7 @@
     Micros sent = 0;
     bool heard = false;  // it met an outage
     bool on_way = true;
+    AttemptPacing pacing = AttemptPacing::rate_limit;
   };
   struct Idle {
     Micros since = 0;
@@ -181,6 +182,7 @@
   Micros serviceOf(std::size_t cls);
   void partnerLearned(std::size_t partner, int sender) { partners[partner]->learned(sender); }
   std::uint64_t calls = 0, refusals = 0, handshakes = 0;
+  std::map<AttemptPacing, std::uint64_t> cold_calls;  // calls that reached a partner in slow start
 
  private:
   void drawPartners();
--- a/model/node_calls.cpp
+++ b/model/node_calls.cpp
@@ -26,6 +26,7 @@
   c.attempt = static_cast<int>(h.attempts.size()) - 1;
   c.endpoint = endpoint;
   c.sent = now;
+  c.pacing = s.pacing;
   fleet_.leaves(fleet_.endpoints[endpoint].partner);
   ListedEndpoint& e = fleet_.endpoints[endpoint];
   ++e.open;
@@ -76,6 +77,8 @@
   Partner& p = *fleet_.partners[partner];
   const Micros now = fleet_.now(), way = fleet_.wayTo();
   arrived(c);
+  if (p.serves() && p.cold(now))
+    ++fleet_.cold_calls[c.pacing];
   const Partner::Fall fall = p.weigh(index_, now);
   if (fall.fell)
     fleet_.checker.pushedOver(p.id(), fall.knew, now);
--- a/src/core/delivery_engine_iteration.cpp
+++ b/src/core/delivery_engine_iteration.cpp
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "clock_offset.h"
 #include "delivery_engine.h"
+#include "engine_log.h"
 #include "engine_recovery.h"
 
 namespace grademux {
@@ -106,6 +107,8 @@
 }
 
 void DeliveryEngine::recordHealth(DestinationHealth health) {
+  logHealth(log::Event::destination_health_changed, health, scheduler_.lastIteration(),
+            settings_.slow_start_time);
   shiftMoments(health, unixNow() - scheduler_.lastIteration());
   journal_.recordHealth(health);
   if (on_health_changed_)
@@ -192,6 +195,7 @@
     return;
   }
   const Micros write_within = start.write_within > 0 ? start.write_within : kNoWriteLimit;
+  logAttemptStarted(start, planned.attempt);
   const std::string version_stamp = action_guard_ ? action_guard_->versionStamp(planned.version) : "";
   const bool may_have_run = planned.attempt > open->attempts_never_executed;
   transport_.startAttempt({open->message, planned.attempt, start.endpoint, start.timeout, write_within,
--- /dev/null
+++ b/src/core/engine_log.h
@@ -0,0 +1,13 @@
+// Log lines of the delivery engine about the health of destinations and the start of attempts.
+#pragma once
+
+#include "../log/events.h"
+#include "grademux/sender.h"
+
+namespace grademux {
+
+// Logs the health of a destination. `now` and the times in `health` are of the same clock.
+void logHealth(log::Event event, const DestinationHealth& health, Micros now, Micros slow_start_time);
+void logAttemptStarted(const StartAttempt& start, int attempt);
+
+}  // namespace grademux
--- a/src/core/engine_recovery.cpp
+++ b/src/core/engine_recovery.cpp
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "clock_offset.h"
+#include "engine_log.h"
 
 namespace grademux {
 
@@ -102,6 +103,7 @@
   for (DestinationHealth trusted : health) {
     if (!policy.reduceToTrusted(trusted, unixNow(), slow_start_time))
       continue;
+    logHealth(log::Event::destination_health_restored, trusted, unixNow(), slow_start_time);
     shiftMoments(trusted, to_monotonic);
     events.emplace_back(std::move(trusted));
   }
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -146,6 +146,7 @@
   fair_queue_.dequeue(message, true);
   if (by_global_tag)
     fair_queue_.lowerLocalTags(destination);
+  const AttemptPacing pacing = pacingOf(endpoint);
   Micros idle_time = -1;
   const auto open_call = open_calls_.find(&endpoint);
   if (open_call != open_calls_.end() && open_call->second.room > 0) {
@@ -158,9 +159,20 @@
                                  ? retry_policy_.retryAllowedUntil(message)
                                  : kNever;
   attempts_.recordAttempt(message, endpoint, open_calls_[&endpoint].call_id, context_.now, idle_time);
-  context_.actions.push_back(StartAttempt{message.id, endpoint.id,
-                                          retry_policy_.attemptTimeout(message, endpoint),
-                                          retry_until == kNever ? 0 : retry_until - context_.now + 1});
+  context_.actions.push_back(
+      StartAttempt{message.id, endpoint.id, retry_policy_.attemptTimeout(message, endpoint),
+                   retry_until == kNever ? 0 : retry_until - context_.now + 1, pacing});
+}
+
+// Of a call that starts now, before it is charged.
+AttemptPacing Dispatcher::pacingOf(EndpointEntry& endpoint) const {
+  const TargetState& target = limitScope(endpoint);
+  if (target.outlier.is_down)
+    return AttemptPacing::outage_trial;
+  if (context_.isCold(target))
+    return AttemptPacing::slow_start;
+  return rate_limiter_.earliestSendAt(endpoint, nullptr) > context_.now ? AttemptPacing::unpaced
+                                                                        : AttemptPacing::rate_limit;
 }
 
 // Starts a call to the endpoint and charges it to the rate limits.
--- a/src/decision/dispatcher.h
+++ b/src/decision/dispatcher.h
@@ -54,6 +54,7 @@
   bool isEndpointEligible(EndpointEntry& endpoint, const Message& message);
   bool mayStart(const Selection& selection) const;
   void requestTimers(const Destination& destination);
+  AttemptPacing pacingOf(EndpointEntry& endpoint) const;
   double zoneCost(const EndpointEntry& endpoint) const;
   void startAttempt(Message& message, EndpointEntry& endpoint, bool by_global_tag);
   void startCall(Destination& destination, EndpointEntry& endpoint);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -52,6 +52,9 @@
   membership_dns_failed,
   membership_dns_forbidden,
   membership_stale,
+  destination_health_changed,
+  destination_health_restored,
+  attempt_started,
   attempt_finished,
   attempt_response_set_aside,
   attempt_copy_discarded,
@@ -167,6 +170,17 @@
      "a DNS response contains an address that `allow` excludes"},
     {Event::membership_stale, "membership.stale", Level::warning, "partner endpoints",
      "the endpoint list of an earlier process is in use, marked as stale, until the source responds"},
+    {Event::destination_health_changed, "destination.health_changed", Level::info,
+     "destination endpoint state slow_start_ms retry_after_ms",
+     "a destination, or an endpoint with its own route, went down (down), came back (slow_start), or is "
+     "healthy; the fields are how long slow start lasts from now on and what is left of a Retry-After"},
+    {Event::destination_health_restored, "destination.health_restored", Level::info,
+     "destination endpoint state slow_start_ms retry_after_ms",
+     "the same, as an earlier process left it: this process starts with it"},
+    {Event::attempt_started, "attempt.started", Level::debug, "message endpoint attempt pacing",
+     "an attempt is made; pacing is what decided when: the rate limit (rate_limit), the slow start budget "
+     "of a destination that is down (outage_trial) or has come back (slow_start), or nothing, as the "
+     "message could not have waited (unpaced)"},
     {Event::attempt_finished, "attempt.finished", Level::debug,
      "message endpoint attempt outcome exchange status_line reused idle_us first_byte_us",
      "an attempt finished; the fields after outcome describe the HTTP exchange: how it ended, the status "
