Decision: the slow start budget is a module of its own

No change of what is decided, but for three things that follow from one rule for all targets: the jitter after the start of an outage is drawn once, not with each failure (the latest of several draws clumped at the end of the gap); it holds for fleets of all sizes; an endpoint that shares its destination's limit gets none of its own. The jitter after a Retry-After is in the pacing, and no longer lengthens what is exported as Retry-After. A retry is not delayed by a jitter of its own: the pacing of its destination spreads it.

--- a/model/tuned.cpp
+++ b/model/tuned.cpp
@@ -47,6 +47,7 @@
 #include "../src/decision/retry_policy.cpp"
 #include "../src/decision/sender.cpp"
 #include "../src/decision/settings_update.cpp"
+#include "../src/decision/slow_start_budget.cpp"
 #undef constexpr
 #undef decision
 #undef Sender
@@ -82,6 +83,11 @@
                          GRADEMUX_TUNED(kQuotaGrowthShares),
                          GRADEMUX_TUNED(kMaxGapStretch),
                          GRADEMUX_TUNED(kTrialGapFraction),
+                         GRADEMUX_TUNED(kPlannedBudgetFraction),
+                         GRADEMUX_TUNED(kEvenClaimFraction),
+                         GRADEMUX_TUNED(kMaxDemandFraction),
+                         GRADEMUX_TUNED(kMinFleetDemand),
+                         GRADEMUX_TUNED(kMinSenderDemand),
                          GRADEMUX_TUNED(kOutlierCallFraction),
                          GRADEMUX_TUNED(kMaxFailureFraction),
                          GRADEMUX_TUNED(kFailureGain),
--- a/src/decision/decision_context.h
+++ b/src/decision/decision_context.h
@@ -20,7 +20,11 @@
 
   // Whether the target is down, or in slow start after an outage.
   bool isCold(const TargetState& target) const {
-    return target.outlier.is_down || now - target.outlier.warming_since < settings.slow_start_time;
+    return target.outlier.is_down || now < slowStartEnd(target);
+  }
+  // Moment at which slow start ends, if the target is not down.
+  Micros slowStartEnd(const TargetState& target) const {
+    return target.outlier.warming_since + settings.slow_start_time;
   }
   // Whether so many senders share the destinations that each sender sees only a small part of the traffic.
   bool isLargeFleet() const { return kRareSenderFraction * settings.sender_count > 1; }
--- a/src/decision/dispatcher.cpp
+++ b/src/decision/dispatcher.cpp
@@ -179,15 +179,9 @@
 void Dispatcher::startCall(Destination& destination, EndpointEntry& endpoint) {
   open_calls_[&endpoint] = {attempts_.newCallId(), endpoint.kind->messages_per_call - 1};
   ++endpoint.calls_in_flight;
-  const double endpoint_count = readyEndpointCount(destination);
-  const double own_rate = context_.perSecond(destination.message_rate);
-  if (hasSeparateRoutes(endpoint)) {
-    rate_limiter_.chargeSend(endpoint.target, endpoint.target.rate_limit.limit, own_rate / endpoint_count);
-    return;
-  }
-  const double limit = destination.target.rate_limit.limit;
-  rate_limiter_.chargeSend(endpoint.target, limit / endpoint_count, own_rate / endpoint_count);
-  rate_limiter_.chargeSend(destination.target, limit, own_rate);
+  rate_limiter_.chargeSend(endpoint.target, rate_limiter_.demandOf(endpoint, endpoint.target));
+  if (!hasSeparateRoutes(endpoint))
+    rate_limiter_.chargeSend(destination.target, rate_limiter_.demandOf(destination));
 }
 
 // Adds queued messages in the order of arrival to the call that was just started, until the call is full.
--- a/src/decision/learned_state.h
+++ b/src/decision/learned_state.h
@@ -12,9 +12,13 @@
 
 class LearnedState {
  public:
-  LearnedState(DecisionContext& context, LatencyStatistics& latency, EndpointTable& endpoint_table,
-               ConnectionPolicy& connections)
-      : context_(context), latency_(latency), endpoint_table_(endpoint_table), connections_(connections) {}
+  LearnedState(DecisionContext& context, LatencyStatistics& latency, RateLimiter& rate_limiter,
+               EndpointTable& endpoint_table, ConnectionPolicy& connections)
+      : context_(context),
+        latency_(latency),
+        rate_limiter_(rate_limiter),
+        endpoint_table_(endpoint_table),
+        connections_(connections) {}
 
   // Adds a LearnedEndpoint action for each destination and endpoint of the requested range, then
   // LearnedExported.
@@ -31,6 +35,7 @@
 
   DecisionContext& context_;
   LatencyStatistics& latency_;
+  RateLimiter& rate_limiter_;
   EndpointTable& endpoint_table_;
   ConnectionPolicy& connections_;
 };
--- a/src/decision/outcome_handler.cpp
+++ b/src/decision/outcome_handler.cpp
@@ -79,9 +79,7 @@
   const double time_left = static_cast<double>(message.deadline - context.now);
   const int attempts_left = message.class_version->max_attempts - static_cast<int>(message.attempts.size());
   const double min_backoff =
-      context.isLargeFleet() ? context.shortest_objective + modules_.rate_limiter.returnJitter(
-                                                                limitScope(endpoint), *message.destination)
-                             : modules_.latency.expectedLatency(endpoint);
+      context.isLargeFleet() ? context.shortest_objective : modules_.latency.expectedLatency(endpoint);
   const double backoff = std::max(min_backoff, time_left * std::exp2(-std::min(attempts_left, 60)));
   modules_.fair_queue.enqueue(message, context.now + static_cast<Micros>(backoff));
 }
--- a/src/decision/outlier_detector.cpp
+++ b/src/decision/outlier_detector.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace grademux::decision {
@@ -79,7 +80,8 @@
 
 // Failures, time-outs, failed connects and persistent rejections are the same evidence: the target serves no
 // requests.
-void OutlierDetector::recordOutcome(TargetState& target, AttemptResult result, bool is_failure) {
+void OutlierDetector::recordOutcome(TargetState& target, const TargetDemand& demand, AttemptResult result,
+                                    bool is_failure) {
   OutlierState& state = target.outlier;
   state.last_outcome_at = context_.now;
   const bool is_unknown =
@@ -87,7 +89,7 @@
   state.unknown_outcome_fraction +=
       kFailureGain * ((is_unknown ? 1.0 : 0.0) - state.unknown_outcome_fraction);
   if (result == AttemptResult::ok)
-    return recordSuccess(target);
+    return recordSuccess(target, demand);
   if (state.first_failure_at == kNever)
     state.first_failure_at = context_.now;
   if (is_failure) {
@@ -100,7 +102,7 @@
 }
 
 // Ends an outage. Slow start follows, except after a brief outage.
-void OutlierDetector::recordSuccess(TargetState& target) {
+void OutlierDetector::recordSuccess(TargetState& target, const TargetDemand& demand) {
   OutlierState& state = target.outlier;
   const Micros collapse_time = context_.settings.overload_collapse_time;
   const bool was_brief = state.failure_fraction <= kMaxFailureFraction &&
@@ -109,8 +111,7 @@
   if (state.is_down) {
     state.is_down = false;
     state.warming_since = was_brief ? -kNever : context_.now;
-    // The longer gaps between trials of a down target end with the outage.
-    target.rate_limit.upper_bound_tag = static_cast<double>(context_.now);
+    rate_limiter_.resumePacing(target, demand);
   } else if (state.consecutive_failures > 0 && state.first_failure_at != kNever &&
              context_.now - state.last_success_at > collapse_time) {
     state.warming_since = context_.now;
@@ -135,10 +136,12 @@
     return;
   if (rejects_all && !is_failure)
     state.consecutive_failures = std::max(state.consecutive_failures, 1);
+  startOutage(state);
+}
+
+void OutlierDetector::startOutage(OutlierState& state) {
   state.is_down = true;
   state.warming_since = context_.now;
-  target.rate_limit.upper_bound_tag =
-      std::max(target.rate_limit.upper_bound_tag, static_cast<double>(context_.now));
 }
 
 void OutlierDetector::onAttemptResult(EndpointEntry& endpoint, AttemptResult result, Micros round_trip,
@@ -160,7 +163,7 @@
   if (result == AttemptResult::rejected && !limitScope(endpoint).outlier.is_down)
     rate_limiter_.onRejected(endpoint, retry_after > 0);
   TargetState& scope = limitScope(endpoint);
-  applyRetryAfter(scope, *endpoint.destination, retry_after);
+  applyRetryAfter(scope, rate_limiter_.demandOf(endpoint, scope), retry_after);
   exportHealth(scope, hasSeparateRoutes(endpoint) ? endpoint.id : "", endpoint.destination->id, was_down);
 }
 
@@ -169,7 +172,7 @@
     return;
   TargetState& scope = limitScope(endpoint);
   const bool was_down = scope.outlier.is_down;
-  applyRetryAfter(scope, *endpoint.destination, retry_after);
+  applyRetryAfter(scope, rate_limiter_.demandOf(endpoint, scope), retry_after);
   exportHealth(scope, hasSeparateRoutes(endpoint) ? endpoint.id : "", endpoint.destination->id, was_down);
 }
 
@@ -179,7 +182,7 @@
                   [](const EndpointEntry* endpoint) { return hasSeparateRoutes(*endpoint); }))
     return;
   const bool was_down = destination.target.outlier.is_down;
-  applyRetryAfter(destination.target, destination, retry_after);
+  applyRetryAfter(destination.target, rate_limiter_.demandOf(destination), retry_after);
   exportHealth(destination.target, "", destination.id, was_down);
 }
 
@@ -188,27 +191,29 @@
   const bool is_failure = result != AttemptResult::ok && result != AttemptResult::rejected;
   if (result == AttemptResult::ok || result == AttemptResult::timeout)
     recordLatency(target, static_cast<double>(round_trip), result == AttemptResult::ok);
-  recordOutcome(target, result, is_failure);
-  if (!context_.isLargeFleet() || !is_failure || !target.outlier.is_down)
-    return;
-  const double jitter = rate_limiter_.returnJitter(target, *endpoint.destination);
-  target.rate_limit.upper_bound_tag =
-      std::max(target.rate_limit.upper_bound_tag, static_cast<double>(context_.now) + jitter);
+  const TargetDemand demand = rate_limiter_.demandOf(endpoint, target);
+  const bool was_down = target.outlier.is_down;
+  const bool was_cold = context_.isCold(target);
+  recordOutcome(target, demand, result, is_failure);
+  const bool outage_starts = !was_down && target.outlier.is_down;
+  const bool slow_start_starts = !was_cold && context_.isCold(target);
+  // The slow start budget is that of the target that has the limit.
+  if ((outage_starts || slow_start_starts) && &target == &limitScope(endpoint))
+    rate_limiter_.spreadNextCall(target, demand, context_.now);
 }
 
-// A Retry-After blocks the target until it has passed. A long Retry-After counts as an outage and gets
-// jitter.
-void OutlierDetector::applyRetryAfter(TargetState& target, const Destination& destination,
-                                      Micros retry_after) {
-  double jitter = 0;
+// A Retry-After blocks the target until it has passed. A long Retry-After counts as an outage: calls spread
+// from its end on, which several responses may report.
+void OutlierDetector::applyRetryAfter(TargetState& target, const TargetDemand& demand, Micros retry_after) {
+  if (retry_after <= 0)
+    return;
+  const Micros until = context_.now + retry_after;
   if (retry_after > context_.settings.overload_collapse_time / 2) {
-    target.outlier.is_down = true;
-    target.outlier.warming_since = context_.now;
-    jitter = rate_limiter_.returnJitter(target, destination);
+    startOutage(target.outlier);
+    if (target.rate_limit.upper_bound_tag <= static_cast<double>(until))
+      rate_limiter_.spreadNextCall(target, demand, until);
   }
-  if (retry_after > 0)
-    target.rate_limit.retry_after_until = std::max(target.rate_limit.retry_after_until,
-                                                   context_.now + retry_after + static_cast<Micros>(jitter));
+  target.rate_limit.retry_after_until = std::max(target.rate_limit.retry_after_until, until);
 }
 
 // Exports health that has changed, so that the next process of this sender does not send at full rate to a
--- a/src/decision/outlier_detector.h
+++ b/src/decision/outlier_detector.h
@@ -52,11 +52,12 @@
   bool isStalled(const TargetState& target) const;
   bool isOutlier(const TargetState& target) const;
   void recordLatency(TargetState& target, double round_trip, bool success);
-  void recordOutcome(TargetState& target, AttemptResult result, bool is_failure);
-  void recordSuccess(TargetState& target);
+  void recordOutcome(TargetState& target, const TargetDemand& demand, AttemptResult result, bool is_failure);
+  void startOutage(OutlierState& state);
+  void recordSuccess(TargetState& target, const TargetDemand& demand);
   void markDownIfFailing(TargetState& target, bool is_failure);
   void learnFrom(EndpointEntry& endpoint, TargetState& target, AttemptResult result, Micros round_trip);
-  void applyRetryAfter(TargetState& target, const Destination& destination, Micros retry_after);
+  void applyRetryAfter(TargetState& target, const TargetDemand& demand, Micros retry_after);
   // `endpoint`: the target's id if it is an endpoint; empty if it is the destination.
   void exportHealth(TargetState& target, const std::string& endpoint, std::int64_t destination,
                     bool was_down);
--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -20,7 +20,7 @@
       std::max(kMinQuotaShares * share, std::min(target.rate_limit.quota_fraction, max_quota) * factor);
 }
 
-double RateLimiter::allowedRate(TargetState& target, double limit, double own_rate) {
+double RateLimiter::allowedRate(TargetState& target, const TargetDemand& demand) {
   double rate = 1e12;
   if (target.rate_limit.limit > 0) {
     // The quota does not grow while cold: success at a reduced rate is no evidence about the limit.
@@ -31,32 +31,35 @@
     target.rate_limit.quota_fraction =
         std::min(maxQuota(target.rate_limit),
                  target.rate_limit.quota_fraction +
-                     kQuotaGrowthShares * quotaShare(target.rate_limit.limit, own_rate) * spans);
+                     kQuotaGrowthShares * quotaShare(target.rate_limit.limit, demand.own_rate) * spans);
     target.rate_limit.quota_updated_at = context_.now;
     rate = target.rate_limit.limit * target.rate_limit.quota_fraction;
   }
-  return context_.isCold(target) ? std::min(rate, slowStartRate(target, limit, own_rate)) : rate;
+  return context_.isCold(target) ? std::min(rate, slow_start_.callRate(target, demand)) : rate;
 }
 
-// Returns calls a second while cold. All senders together stay below Settings::overload_factor times the cold
-// capacity, as each sender is limited to its usual traffic times the warmth of the target.
-double RateLimiter::slowStartRate(const TargetState& target, double limit, double own_rate) const {
-  const double warmth = std::min(1.0, static_cast<double>(context_.now - target.outlier.warming_since) /
-                                          kSecond / context_.rateSpanSeconds());
-  const double share = context_.settings.cold_capacity_fraction +
-                       (1 - context_.settings.cold_capacity_fraction) * (target.outlier.is_down ? 0 : warmth);
-  if (limit > 0)
-    own_rate = limit * quotaShare(limit, own_rate);
-  return std::max(own_rate, 1 / context_.rateSpanSeconds()) * share * context_.settings.overload_factor;
+TargetDemand RateLimiter::demandOf(const Destination& destination) const {
+  return {destination.target.rate_limit.limit, context_.perSecond(destination.message_rate)};
 }
 
-double RateLimiter::returnJitter(const TargetState& target, const Destination& destination) {
-  const double max_delay = std::min(
-      context_.rateSpanSeconds(),
-      1 / slowStartRate(target, target.rate_limit.limit, context_.perSecond(destination.message_rate)));
-  return target.outlier.is_down
-             ? std::uniform_real_distribution<double>(0, max_delay * kSecond)(context_.random)
-             : 0;
+TargetDemand RateLimiter::demandOf(const EndpointEntry& endpoint, const TargetState& target) const {
+  const Destination& destination = *endpoint.destination;
+  const TargetDemand all = demandOf(destination);
+  if (&target == &destination.target)
+    return all;
+  const double endpoint_count = readyEndpointCount(destination);
+  const double limit = hasSeparateRoutes(endpoint) ? target.rate_limit.limit : all.limit / endpoint_count;
+  return {limit, all.own_rate / endpoint_count};
+}
+
+void RateLimiter::spreadNextCall(TargetState& target, const TargetDemand& demand, Micros from) {
+  const double gap = std::min(slow_start_.callGap(target, demand), context_.rateSpanSeconds() * kSecond);
+  target.rate_limit.upper_bound_tag =
+      static_cast<double>(from) + std::uniform_real_distribution<double>(0, gap)(context_.random);
+}
+
+void RateLimiter::resumePacing(TargetState& target, const TargetDemand&) {
+  target.rate_limit.upper_bound_tag = static_cast<double>(context_.now);
 }
 
 // `latest_send_at`: the latest useful send time of a first attempt that may ignore pacing; kNever: pacing
@@ -87,14 +90,16 @@
                         earliestSendToTarget(endpoint.destination->target, latest_send_at));
 }
 
-void RateLimiter::chargeSend(TargetState& target, double limit, double own_rate) {
+void RateLimiter::chargeSend(TargetState& target, const TargetDemand& demand) {
   const double now_tag = static_cast<double>(context_.now);
-  const double rate = allowedRate(target, limit, own_rate);
+  const double rate = allowedRate(target, demand);
   const double burst = context_.isCold(target) ? 0 : kBurstSeconds * kSecond;
   double gap = kSecond / rate;
   if (target.outlier.is_down)
     gap = std::max(gap, std::min(kTrialGapFraction * context_.collapseTime(),
                                  gap * target.outlier.consecutive_failures));
+  else if (context_.isCold(target))
+    gap = std::min(gap, static_cast<double>(context_.slowStartEnd(target) - context_.now));
   // Upper-bound tag (RePAIR): u = clamp(u, now - burst, now) + gap. The clamp to now keeps a first attempt
   // that ignored pacing from delaying later calls.
   target.rate_limit.upper_bound_tag =
@@ -102,12 +107,6 @@
   context_.countEvent(target.rate_limit.send_rate);
 }
 
-// Messages a second of this sender for the target that holds the endpoint's limit.
-double RateLimiter::ownMessageRate(const EndpointEntry& endpoint) const {
-  return context_.perSecond(endpoint.destination->message_rate) /
-         (hasSeparateRoutes(endpoint) ? readyEndpointCount(*endpoint.destination) : 1);
-}
-
 void RateLimiter::applyLimitReport(EndpointEntry& endpoint, const std::optional<LimitReport>& report) {
   if (!report || report->rate_limit <= 0)
     return;
@@ -117,12 +116,12 @@
                                 : report->rate_limit;
   target.rate_limit.limit_is_reported = true;
   if (context_.isLargeFleet() && report->remaining_fraction < kLowAllowanceFraction)
-    reduceQuota(target, kLowAllowanceQuotaFactor, ownMessageRate(endpoint));
+    reduceQuota(target, kLowAllowanceQuotaFactor, demandOf(endpoint, target).own_rate);
 }
 
 void RateLimiter::onRejected(EndpointEntry& endpoint, bool has_retry_after) {
   TargetState& target = limitScope(endpoint);
-  const double own_rate = ownMessageRate(endpoint);
+  const double own_rate = demandOf(endpoint, target).own_rate;
   if (target.rate_limit.limit <= 0) {
     // If no limit is known, the estimate is the rate of calls so far, or one call at a time.
     target.rate_limit.limit =
@@ -132,7 +131,7 @@
     target.rate_limit.quota_fraction = 1;
   }
   const double gap = std::min<double>(kMaxGapStretch, target.outlier.consecutive_rejections) * kSecond /
-                     allowedRate(target, target.rate_limit.limit, own_rate);
+                     allowedRate(target, {target.rate_limit.limit, own_rate});
   if (context_.now - target.rate_limit.quota_reduced_at > context_.settings.overload_collapse_time / 4) {
     reduceQuota(target, kRejectionQuotaFactor, own_rate);
     target.rate_limit.quota_reduced_at = context_.now;
@@ -144,14 +143,13 @@
 
 Micros RateLimiter::queueDrainTime(Destination& destination) {
   double rate = 0;
-  for (EndpointEntry* endpoint : destination.endpoints)
-    if (isReady(*endpoint))
-      rate = hasSeparateRoutes(*endpoint)
-                 ? rate + allowedRate(
-                              endpoint->target, endpoint->target.rate_limit.limit,
-                              context_.perSecond(destination.message_rate) / readyEndpointCount(destination))
-                 : allowedRate(destination.target, destination.target.rate_limit.limit,
-                               context_.perSecond(destination.message_rate));
+  for (EndpointEntry* endpoint : destination.endpoints) {
+    if (!isReady(*endpoint))
+      continue;
+    TargetState& target = limitScope(*endpoint);
+    const double target_rate = allowedRate(target, demandOf(*endpoint, target));
+    rate = hasSeparateRoutes(*endpoint) ? rate + target_rate : target_rate;
+  }
   const double wait = static_cast<double>(destination.queue.size()) * kSecond / std::max(rate, 1e-6);
   return static_cast<Micros>(
       std::clamp(wait, static_cast<double>(context_.settings.min_decide_interval), 1e12));
--- a/src/decision/rate_limiter.h
+++ b/src/decision/rate_limiter.h
@@ -6,6 +6,7 @@
 
 #include "decision_context.h"
 #include "latency_statistics.h"
+#include "slow_start_budget.h"
 
 namespace grademux::decision {
 
@@ -25,23 +26,29 @@
 class RateLimiter {
  public:
   RateLimiter(DecisionContext& context, const LatencyStatistics& latency)
-      : context_(context), latency_(latency) {}
+      : context_(context), latency_(latency), slow_start_(context) {}
 
   // Share of a limit that this sender claims: an even share, or more if its demand (calls a second) is
   // larger.
   double quotaShare(double limit, double demand) const;
-  // Updates the quota, and returns the calls a second that this sender may send. `limit`: of the whole
-  // destination; `own_rate`: this sender's messages a second for it.
-  double allowedRate(TargetState& target, double limit, double own_rate);
-  // Returns a random delay in microseconds, so that not all senders return to a down target at once; 0 if the
-  // target is up.
-  double returnJitter(const TargetState& target, const Destination& destination);
+  // Updates the quota, and returns the calls a second that this sender may send.
+  double allowedRate(TargetState& target, const TargetDemand& demand);
+  // The limit and this sender's demand that apply to a target of the endpoint: to the endpoint itself, or to
+  // its destination.
+  TargetDemand demandOf(const EndpointEntry& endpoint, const TargetState& target) const;
+  TargetDemand demandOf(const Destination& destination) const;
+  // Sets the next call to a cold target to a random moment of the gap between two calls, from `from` on. All
+  // senders learn of an outage, of its end or of their own restart at about the same time; so their calls
+  // spread evenly over the gap.
+  void spreadNextCall(TargetState& target, const TargetDemand& demand, Micros from);
+  // Ends the longer gaps between the trials of a down target: from now on the gap of slow start applies.
+  void resumePacing(TargetState& target, const TargetDemand& demand);
   // The earliest time at which a call to the endpoint conforms to its limits. In a large fleet the first
-  // attempt of `message` ignores pacing that would outlast its deadline. A null `message` stands for any
-  // message.
+  // attempt of `message` ignores pacing that would outlast its deadline, unless the target is cold. A null
+  // `message` stands for any message.
   Micros earliestSendAt(EndpointEntry& endpoint, const Message* message) const;
   // Counts a call and advances the upper-bound tag by the gap to the next call.
-  void chargeSend(TargetState& target, double limit, double own_rate);
+  void chargeSend(TargetState& target, const TargetDemand& demand);
   void applyLimitReport(EndpointEntry& endpoint, const std::optional<LimitReport>& report);
   // Reduces the quota after a rejection, and estimates a limit if none is known. `has_retry_after`: the
   // rejection reported a Retry-After, which replaces the longer gap.
@@ -52,12 +59,11 @@
 
  private:
   void reduceQuota(TargetState& target, double factor, double own_rate);
-  double slowStartRate(const TargetState& target, double limit, double own_rate) const;
   Micros earliestSendToTarget(const TargetState& target, Micros latest_send_at) const;
-  double ownMessageRate(const EndpointEntry& endpoint) const;
 
   DecisionContext& context_;
   const LatencyStatistics& latency_;
+  SlowStartBudget slow_start_;
 };
 
 }  // namespace grademux::decision
--- a/src/decision/sender.cpp
+++ b/src/decision/sender.cpp
@@ -61,7 +61,7 @@
                                messages_, retry_policy_, dispatcher_}};
   OutcomeHandler outcome_handler_{{context_, latency_, fair_queue_, rate_limiter_, attempts_,
                                    outlier_detector_, messages_, connections_, retry_policy_, admission_}};
-  LearnedState learned_state_{context_, latency_, endpoint_table_, connections_};
+  LearnedState learned_state_{context_, latency_, rate_limiter_, endpoint_table_, connections_};
   SettingsUpdate settings_update_{context_, endpoint_table_, fair_queue_, messages_};
   Micros timer_at_ = kNever;  // time of the last SetTimer
 };
