Slow start: the claims of all senders add up to the budget at most

A sender claimed the larger of an even part and its own demand. Summed over senders with uneven traffic that was up to 1 + demand / limit of the budget.

--- a/src/decision/slow_start_budget.cpp
+++ b/src/decision/slow_start_budget.cpp
@@ -31,7 +31,11 @@
   const double own_rate = std::max(demand.own_rate, min_demand / context_.rateSpanSeconds());
   if (demand.limit <= 0)
     return own_rate;
-  return demand.limit * std::max(1.0 / senders, std::min(own_rate / demand.limit, kMaxDemandFraction));
+  const double even_part = demand.limit / senders;
+  if (even_part >= kMaxDemandFraction * demand.limit)
+    return even_part;
+  const double demanded_part = std::min(own_rate, kMaxDemandFraction * demand.limit);
+  return kEvenClaimFraction * even_part + (1 - kEvenClaimFraction) * demanded_part;
 }
 
 }  // namespace grademux::decision
