Slow start: the first trials of all senders spread over the whole gap between two trials

The random delay after the start of an outage, and after a Retry-After, was at most the slow start time, while a sender of a large fleet has a longer gap between two trials. So the first trials came up to three times as densely as the budget allows, which a return within 11 s of the outage's start met.

The test fails without the fix.

--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -53,7 +53,7 @@
 }
 
 void RateLimiter::spreadNextCall(TargetState& target, const TargetDemand& demand, Micros from) {
-  const double gap = std::min(slow_start_.callGap(target, demand), context_.rateSpanSeconds() * kSecond);
+  const double gap = slow_start_.callGap(target, demand);
   target.rate_limit.upper_bound_tag =
       static_cast<double>(from) + std::uniform_real_distribution<double>(0, gap)(context_.random);
 }
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -92,4 +92,36 @@
   }
 }
 
+// Guards against trials that come sooner after the start of an outage than later in it, because their jitter
+// was bounded by the slow start time: in a large fleet the gap between two trials is longer.
+TEST(SlowStart, FirstTrialsSpreadOverTheWholeGap) {
+  int early = 0;
+  constexpr int kSenders = 200;
+  for (std::uint64_t seed = 1; seed <= kSenders; ++seed) {
+    SenderDriver driver = makeSender(kSenders, seed);
+    driver.submit("failing", "safe", 1);
+    driver.advanceTo(driver.now + 100 * kMs).finishAttempt("failing", 0, AttemptResult::connect_failed);
+    early += driver.fireTimersUntilStart("failing", driver.now + 10 * kS) > 0;
+  }
+  // 200 senders with one message in 10 s each: 0.9 x 1.5 x 0.3 of their mean claim, (0.1 + 0.1) / 2 a second.
+  EXPECT_LE(early, 0.9 * 1.5 * 0.3 * 0.1 * 10 * kSenders + 3 * std::sqrt(kSenders * 0.4 * 0.6));
+}
+
+// Guards against the ends of one Retry-After in step: the calls of all senders spread from its end on.
+TEST(SlowStart, SendersToldToWaitTogetherStayWithinBudget) {
+  for (const int senders : {8, 20, 47, 200}) {
+    int call_count = 0;
+    for (int sender = 0; sender < senders; ++sender) {
+      SenderDriver driver = makeSender(senders, static_cast<std::uint64_t>(sender) + 1);
+      driver.decide({makeTraffic(kLimit / senders)});
+      driver.submit("told", "safe", 1);
+      driver.advanceTo(driver.now + 10 * kMs)
+          .finishAttempt("told", 0, AttemptResult::rejected, 10 * kMs, 3 * kS);
+      driver.advanceTo(driver.now + 3 * kS);
+      call_count += countCalls(driver, {}, driver.settings.overload_collapse_time, false);
+    }
+    EXPECT_LE(call_count, slowStartBudget(fleetSettings(senders))) << senders;
+  }
+}
+
 }  // namespace
