Slow start: the first success doesn't allow a second call at once

It set the time of the next call to now, to end the longer gaps between trials. Each sender so sent two calls in place of one. The gap of slow start applies now.

The test fails without the fix.

--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -58,8 +58,10 @@
       static_cast<double>(from) + std::uniform_real_distribution<double>(0, gap)(context_.random);
 }
 
-void RateLimiter::resumePacing(TargetState& target, const TargetDemand&) {
-  target.rate_limit.upper_bound_tag = static_cast<double>(context_.now);
+void RateLimiter::resumePacing(TargetState& target, const TargetDemand& demand) {
+  target.rate_limit.upper_bound_tag =
+      std::min(target.rate_limit.upper_bound_tag,
+               static_cast<double>(context_.now) + slow_start_.callGap(target, demand));
 }
 
 // `latest_send_at`: the latest useful send time of a first attempt that may ignore pacing; kNever: pacing
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -92,6 +92,15 @@
   }
 }
 
+// Guards against a second call right behind the first success, in place of one gap later.
+TEST(SlowStart, FirstSuccessAllowsNoSecondCallAtOnce) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    SenderDriver driver = makeSender(47, seed);
+    // The gap is 5.3 s at first: 0.9 x 1.5 x 0.3 of half of the demand and half of the even part.
+    EXPECT_LE(countCalls(driver, {makeTraffic(0.5), makeHealth(true, 99 * kS)}, 4 * kS, true), 1) << seed;
+  }
+}
+
 // Guards against trials that come sooner after the start of an outage than later in it, because their jitter
 // was bounded by the slow start time: in a large fleet the gap between two trials is longer.
 TEST(SlowStart, FirstTrialsSpreadOverTheWholeGap) {
