Slow start: first attempts of rare senders obey pacing until it is over

They ignored pacing that would outlast their deadline as soon as one call had succeeded, so that rare traffic met a cold destination in full.

The test fails without the fix.

--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -68,7 +68,7 @@
 // applies.
 Micros RateLimiter::earliestSendToTarget(const TargetState& target, Micros latest_send_at) const {
   const auto conforms_at = static_cast<Micros>(std::ceil(target.rate_limit.upper_bound_tag));
-  const bool ignores_pacing = latest_send_at != kNever && !target.outlier.is_down &&
+  const bool ignores_pacing = latest_send_at != kNever && !context_.isCold(target) &&
                               target.outlier.consecutive_rejections < 2 && conforms_at >= latest_send_at;
   return ignores_pacing ? target.rate_limit.retry_after_until
                         : std::max(target.rate_limit.retry_after_until, conforms_at);
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -116,6 +116,22 @@
   EXPECT_LE(early, 0.9 * 1.5 * 0.3 * 0.1 * 10 * kSenders + 3 * std::sqrt(kSenders * 0.4 * 0.6));
 }
 
+// Guards against rare senders whose first attempts ignored pacing while the destination was in slow start.
+TEST(SlowStart, RareSenderPacesFirstAttemptsInSlowStart) {
+  int call_count = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    SenderDriver driver = makeSender(200, seed);
+    driver.decide({makeHealth(false, 100 * kS)});
+    for (int i = 0; i < 10; ++i) {
+      MessageArrival urgent = driver.makeArrival("u" + std::to_string(i), "safe", 1);
+      urgent.deadline = driver.now + kS;
+      call_count += static_cast<int>(driver.decide({urgent}).size());
+      driver.advanceTo(driver.now + 200 * kMs);
+    }
+  }
+  EXPECT_LE(call_count, 20);  // of 200
+}
+
 // Guards against the ends of one Retry-After in step: the calls of all senders spread from its end on.
 TEST(SlowStart, SendersToldToWaitTogetherStayWithinBudget) {
   for (const int senders : {8, 20, 47, 200}) {
