Demand: messages that come again don't count once more

Resumed messages and those that clients hand in again counted as new traffic. After an outage and a restart that inflated the part of the budget that a sender claims.

The test fails without the fix.

--- a/src/decision/admission_control.cpp
+++ b/src/decision/admission_control.cpp
@@ -43,7 +43,9 @@
     fair_queue_.countTenantMessage(message.tenant);
   message.destination = &endpoint_table_.destination(arrival.destination);
   ++message.destination->open_messages;
-  context_.countEvent(message.destination->message_rate);
+  // Messages that were counted by this sender, another one or its earlier process are no further demand.
+  if (!arrival.resubmitted)
+    context_.countEvent(message.destination->message_rate);
   message.submitted_at = std::min(context_.now, arrival.deadline - version->deadline);
   const auto stretch =
       static_cast<Micros>(version->latency_objective_stretch * static_cast<double>(arrival.estimated_work));
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -92,6 +92,19 @@
   }
 }
 
+// Guards against a backlog, or messages of clients that come again, which count as demand once more.
+TEST(SlowStart, ResumedAndResubmittedMessagesAreNoFurtherDemand) {
+  SenderDriver driver = makeSender(47, 1);
+  countCalls(driver, {makeTraffic(0.5)}, 0, false);
+  MessageArrival again = driver.makeArrival("again", "safe", 1);
+  again.resubmitted = true;
+  driver.decide({again, ExportLearned{INT64_MIN, 10}});
+  for (const LearnedEndpoint& learned : driver.actionsOf<LearnedEndpoint>()) {
+    if (learned.endpoint.empty())
+      EXPECT_DOUBLE_EQ(learned.message_rate, 0.5);
+  }
+}
+
 // Guards against a second call right behind the first success, in place of one gap later.
 TEST(SlowStart, FirstSuccessAllowsNoSecondCallAtOnce) {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
