Slow start: a restarted sender spreads its first call to a cold destination

Now the first call falls at a random moment of the gap, as likely as if the process had gone on.

The two tests of SlowStart fail without it.

--- a/src/decision/learned_state.cpp
+++ b/src/decision/learned_state.cpp
@@ -97,6 +97,11 @@
   target.exported_warming_since = health.warming_since;
   target.rate_limit.retry_after_until = health.retry_after_until;
   target.exported_retry_after_until = health.retry_after_until;
+  // The earlier process is likely to have called just before its end.
+  if (context_.isCold(target))
+    rate_limiter_.spreadNextCall(
+        target, endpoint ? rate_limiter_.demandOf(*endpoint, target) : rate_limiter_.demandOf(destination),
+        std::max(context_.now, health.retry_after_until));
   if (!health.down)
     return;
   state.consecutive_failures = std::max(state.consecutive_failures, 1);
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -82,6 +82,14 @@
   return allowed < 30 ? allowed + 3 * std::sqrt(allowed) + 3 : allowed + 2 * std::sqrt(allowed) + 2;
 }
 
+// Guards against calls of restarted senders at once: each forgot when it had called last (report dfa0b2).
+TEST(SlowStart, RestartedSendersTogetherStayWithinBudget) {
+  for (const int senders : {3, 8, 20, 21, 47, 200})
+    EXPECT_LE(countFleetCalls(senders, kLimit, [&](int) { return kLimit / senders; }),
+              slowStartBudget(fleetSettings(senders)))
+        << senders;
+}
+
 // Guards against claims by demand on top of even claims: their sum exceeded the budget.
 TEST(SlowStart, UnevenDemandsTogetherStayWithinBudget) {
   for (const int senders : {8, 20, 47, 200}) {
@@ -92,6 +100,16 @@
   }
 }
 
+// Guards against a restart in slow start that calls at once.
+TEST(SlowStart, RestartInSlowStartSpreadsCalls) {
+  int called_at_once = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SenderDriver driver = makeSender(47, seed);
+    called_at_once += countCalls(driver, {makeTraffic(0.5), makeHealth(false, 99 * kS)}, 0, false);
+  }
+  EXPECT_EQ(called_at_once, 0);
+}
+
 // Guards against a backlog, or messages of clients that come again, which count as demand once more.
 TEST(SlowStart, ResumedAndResubmittedMessagesAreNoFurtherDemand) {
   SenderDriver driver = makeSender(47, 1);
