Slow start: an outage is judged by the time between two successes

Failures were taken for no outage if the first of them was less than a second ago and less than half of the calls failed; that also ended a slow start that was under way. Now slow start follows wherever half a second or more lies between the successes, and goes on otherwise.

The test shows that a running slow start goes on.

--- a/src/decision/outlier_detector.cpp
+++ b/src/decision/outlier_detector.cpp
@@ -101,21 +101,26 @@
   markDownIfFailing(target, is_failure);
 }
 
-// Ends an outage. Slow start follows, except after a brief outage.
+// Whether an outage may have lain between the last success and the one that has arrived now.
+bool OutlierDetector::mayEndOutage(const OutlierState& state) const {
+  const double shortest_outage = kMinOutageFraction * context_.collapseTime();
+  return (state.is_down || state.consecutive_failures > 0) &&
+         static_cast<double>(context_.now - state.last_success_at) >= shortest_outage;
+}
+
+// Slow start follows an outage. Failures between two successes that are too close for an outage change
+// nothing: a slow start that they interrupted goes on.
 void OutlierDetector::recordSuccess(TargetState& target, const TargetDemand& demand) {
   OutlierState& state = target.outlier;
-  const Micros collapse_time = context_.settings.overload_collapse_time;
-  const bool was_brief = state.failure_fraction <= kMaxFailureFraction &&
-                         context_.now - state.first_failure_at < collapse_time / 2;
+  const bool outage_ends = mayEndOutage(state);
+  const bool was_down = std::exchange(state.is_down, false);
   state.failure_fraction -= kFailureGain * state.failure_fraction;
-  if (state.is_down) {
-    state.is_down = false;
-    state.warming_since = was_brief ? -kNever : context_.now;
-    rate_limiter_.resumePacing(target, demand);
-  } else if (state.consecutive_failures > 0 && state.first_failure_at != kNever &&
-             context_.now - state.last_success_at > collapse_time) {
+  if (outage_ends)
     state.warming_since = context_.now;
-  }
+  else if (was_down)
+    state.warming_since = state.warming_before_outage;
+  if (was_down)
+    rate_limiter_.resumePacing(target, demand);
   state.consecutive_failures = 0;
   state.consecutive_rejections = 0;
   state.first_failure_at = kNever;
@@ -140,6 +145,8 @@
 }
 
 void OutlierDetector::startOutage(OutlierState& state) {
+  if (!state.is_down)
+    state.warming_before_outage = state.warming_since;
   state.is_down = true;
   state.warming_since = context_.now;
 }
--- a/src/decision/target_state.h
+++ b/src/decision/target_state.h
@@ -27,10 +27,11 @@
   bool is_down = false;
   Micros warming_since =
       -kNever;  // start of slow start: the last time at which the target was not known to be up
-  double typical_latency = 0;   // microseconds, slow moving average
-  double latency_ratio = 1;     // recent latency over the typical one
-  int latency_samples = 0;      // successful answers in typical_latency
-  double failure_fraction = 0;  // moving share of outcomes that failed
+  Micros warming_before_outage = -kNever;  // warming_since as it was before the target went down
+  double typical_latency = 0;              // microseconds, slow moving average
+  double latency_ratio = 1;                // recent latency over the typical one
+  int latency_samples = 0;                 // successful answers in typical_latency
+  double failure_fraction = 0;             // moving share of outcomes that failed
   double unknown_outcome_fraction =
       0;                         // moving share of outcomes that do not show whether the attempt was executed
   int consecutive_failures = 0;  // since the last success
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -163,6 +163,22 @@
   EXPECT_LE(call_count, 20);  // of 200
 }
 
+// Guards against a slow start that one failure ends: the next success came soon, so the outage counted as
+// brief.
+TEST(SlowStart, GoesOnAfterFailureBetweenTwoSuccesses) {
+  SenderDriver driver = makeSender(47, 1, 0);
+  for (const char* id : {"first", "failing", "second"})
+    EXPECT_EQ(driver.submit(id, "safe", 1).size(), 1u);
+  driver.decide({makeHealth(false, 100 * kS)});
+  driver.advanceTo(driver.now + 10 * kMs).finishAttempt("first", 0, AttemptResult::ok);
+  driver.advanceTo(driver.now + 10 * kMs).finishAttempt("failing", 0, AttemptResult::connect_failed);
+  driver.advanceTo(driver.now + 10 * kMs).finishAttempt("second", 0, AttemptResult::ok);
+  const std::vector<DestinationHealth> exported = driver.actionsOf<DestinationHealth>();
+  ASSERT_EQ(exported.size(), 1u);
+  EXPECT_FALSE(exported[0].down);
+  EXPECT_EQ(exported[0].warming_since, 100 * kS);
+}
+
 // Guards against the ends of one Retry-After in step: the calls of all senders spread from its end on.
 TEST(SlowStart, SendersToldToWaitTogetherStayWithinBudget) {
   for (const int senders : {8, 20, 47, 200}) {
