Harness: a fleet killed and restarted round the return of destinations (slow_start)

Each process gets a seed of its own, as on the platform: with one for all, their draws were in step.

--- a/harness/scenarios.cpp
+++ b/harness/scenarios.cpp
@@ -295,6 +295,7 @@
       {"membership",
        {membership, "partners change in file, folder and DNS under load, with faults and kills"}},
       {"herd", {herd, "several senders restarted at once before one destination that returns"}},
+      {"slow_start", {slowStart, "a fleet of which many are killed round the return of destinations"}},
       {"fleet",
        {fleet,
         "several senders before one store: `fleet audit` with faults, `fleet cost`, `fleet crowd`, `fleet "
--- a/harness/scenarios.h
+++ b/harness/scenarios.h
@@ -18,7 +18,7 @@
   double rate = 0;          // messages a second; 0: the scenario's own
   int destinations = 2000;  // wide
   int listed = 20'000;      // wide: entries of the list that comes under load
-  int senders = 4;          // herd, fleet
+  int senders = 4;          // herd, fleet, slow_start
   std::string part;         // fleet: which
   double lease_s = 2;       // fleet
   int zones = 3;            // fleet zone
@@ -34,6 +34,9 @@
 // Several senders killed at once and started together before a returning destination, see herd.cpp.
 json herd(const Options& o);
 
+// Senders killed and restarted round the return of a destination: its slow start budget, see slow_start.cpp.
+json slowStart(const Options& o);
+
 // Clients that take what memory and descriptors they can get, see floods.cpp.
 json floods(const Options& o);
 
--- a/harness/stand_ins.h
+++ b/harness/stand_ins.h
@@ -41,6 +41,7 @@
   double cold_share = 0.29, factor = 1.5;
   Micros ramp = 11'000'000, fall_span = 2'000'000;
   std::atomic<std::uint64_t> fell_over{0}, waits_broken{0};
+  double peak_budget_used = 0;  // largest part of the slow start budget; read once nobody calls any more
 
   // Takes a call, or tells what it answers instead; and holds it against the rules. A wait binds the sender
   // that was told.
--- a/harness/test_environment.h
+++ b/harness/test_environment.h
@@ -121,6 +121,7 @@
   std::unique_ptr<Clients> resp_, http_;
   boost::asio::steady_timer look_;
   std::uint64_t journal_size_ = 0, journal_bytes_ = 0;
+  mutable std::mt19937_64 process_seeds_;  // the platform gives each process a seed of its own
 };
 
 }  // namespace grademux::harness
