--- a/tests/decision/recovered_messages_test.cpp
+++ b/tests/decision/recovered_messages_test.cpp
@@ -161,8 +161,9 @@
     next.decide(first);
     const bool starts_at_once = next.submit("first", "safe", 1).size() == 1u;
     EXPECT_TRUE(starts_at_once || !first.empty());
-    if (!starts_at_once)
+    if (!starts_at_once) {
       EXPECT_NE(0, next.fireTimersUntilStart("first", next.now + 2100 * kMs));
+    }
     next.advanceTo(next.now + 100 * kMs).finishAttempt("first", 0, AttemptResult::ok);
     std::vector<Event> backlog;
     for (int i = 0; i < 8; ++i)
--- a/tests/decision/slow_start_test.cpp
+++ b/tests/decision/slow_start_test.cpp
@@ -118,8 +118,9 @@
   again.resubmitted = true;
   driver.decide({again, ExportLearned{INT64_MIN, 10}});
   for (const LearnedEndpoint& learned : driver.actionsOf<LearnedEndpoint>()) {
-    if (learned.endpoint.empty())
+    if (learned.endpoint.empty()) {
       EXPECT_DOUBLE_EQ(learned.message_rate, 0.5);
+    }
   }
 }
 
