Rate limiter: the first reported limit replaces what a rejection before it has set

Cause: a sender that is rejected before any limit is known estimates one from its own calls, here a quarter of a call a second, takes a quota of it, and sets the next call by that rate, 20 s later. The answer to that call reported 60 calls a second. The time of the next call stayed, and the quota of 0.19 was now one of 60: 11 to 15 calls a second from one of 47 senders. Nine senders slept through the outage like this, knew nothing of it and sent at that rate at its end.

Evidence: the calls of all senders with attempt.started at debug. The nine senders made no call to destination 0 from 2.6 s before the outage until 2.8 s after it, then 4 to 6 in two seconds at gaps of 67 ms; the other 38 made 2 each.

The quota is limited to what a rejected sender may use, and the next call comes a gap at the reported limit later at the most. Both tests fail with the half that they hold taken out of the module; on the module before, the first one fails.

--- a/src/decision/rate_limiter.cpp
+++ b/src/decision/rate_limiter.cpp
@@ -15,9 +15,15 @@
 // most one share at once.
 void RateLimiter::reduceQuota(TargetState& target, double factor, double own_rate) {
   const double share = quotaShare(target.rate_limit.limit, own_rate);
-  const double max_quota = (context_.isLargeFleet() ? kInitialQuotaShares / 2 : kInitialQuotaShares) * share;
+  limitReducedQuota(target, own_rate);
   target.rate_limit.quota_fraction =
-      std::max(kMinQuotaShares * share, std::min(target.rate_limit.quota_fraction, max_quota) * factor);
+      std::max(kMinQuotaShares * share, target.rate_limit.quota_fraction * factor);
+}
+
+void RateLimiter::limitReducedQuota(TargetState& target, double own_rate) {
+  const double max_shares = context_.isLargeFleet() ? kInitialQuotaShares / 2 : kInitialQuotaShares;
+  target.rate_limit.quota_fraction =
+      std::min(target.rate_limit.quota_fraction, max_shares * quotaShare(target.rate_limit.limit, own_rate));
 }
 
 double RateLimiter::allowedRate(TargetState& target, const TargetDemand& demand) {
@@ -116,11 +122,26 @@
   target.rate_limit.limit = target.rate_limit.limit_is_reported
                                 ? 0.75 * target.rate_limit.limit + 0.25 * report->rate_limit
                                 : report->rate_limit;
+  const bool is_first_report = !target.rate_limit.limit_is_reported;
   target.rate_limit.limit_is_reported = true;
+  if (is_first_report)
+    adoptReportedLimit(target, demandOf(endpoint, target));
   if (context_.isLargeFleet() && report->remaining_fraction < kLowAllowanceFraction)
     reduceQuota(target, kLowAllowanceQuotaFactor, demandOf(endpoint, target).own_rate);
 }
 
+// A rejection before the first report has reduced the quota of another limit, and the next call was set by
+// the rate that this limit allows.
+void RateLimiter::adoptReportedLimit(TargetState& target, const TargetDemand& demand) {
+  if (target.rate_limit.quota_reduced_at != -kNever)
+    limitReducedQuota(target, demand.own_rate);
+  if (target.outlier.is_down)
+    return;
+  const double gap = kSecond / allowedRate(target, demand);
+  target.rate_limit.upper_bound_tag =
+      std::min(target.rate_limit.upper_bound_tag, static_cast<double>(context_.now) + gap);
+}
+
 void RateLimiter::onRejected(EndpointEntry& endpoint, bool has_retry_after) {
   TargetState& target = limitScope(endpoint);
   const double own_rate = demandOf(endpoint, target).own_rate;
--- a/src/decision/rate_limiter.h
+++ b/src/decision/rate_limiter.h
@@ -59,6 +59,9 @@
 
  private:
   void reduceQuota(TargetState& target, double factor, double own_rate);
+  // Limits the quota to what a sender may use once it has been rejected.
+  void limitReducedQuota(TargetState& target, double own_rate);
+  void adoptReportedLimit(TargetState& target, const TargetDemand& demand);
   Micros earliestSendToTarget(const TargetState& target, Micros latest_send_at) const;
 
   DecisionContext& context_;
--- a/tests/decision/rate_limiter_test.cpp
+++ b/tests/decision/rate_limiter_test.cpp
@@ -278,6 +278,62 @@
   return started_count;
 }
 
+// A sender in a fleet of 47 with some messages: its first call is rejected while no limit is known, and its
+// second call reports a limit of 60 calls a second.
+struct FirstReport {
+  static constexpr int kMessages = 20;
+  SenderDriver driver;
+  Micros reported_at = 0;
+
+  FirstReport() : driver(settings()) {
+    driver.updateEndpoints({makeEndpoint("e1", 1)});
+    driver.submit("first", "safe", 1);
+    driver.advanceTo(kMs).finishAttempt("first", 0, AttemptResult::rejected, kMs, 400 * kMs);
+    Ids started;
+    for (int i = 0; i < kMessages; ++i)
+      for (const std::string& id : driver.submit("m" + std::to_string(i), "safe", 1))
+        started.push_back(id);
+    while (started.empty() && driver.now < 5 * kS)
+      started = driver.advanceTo(driver.now + 10 * kMs).fireTimer();
+    if (started.size() != 1)
+      throw std::logic_error("the second call is expected once the Retry-After has passed");
+    AttemptOutcome outcome =
+        driver.makeOutcome(started[0], started[0] == "first" ? 1 : 0, AttemptResult::ok, 20 * kMs);
+    outcome.limit_report = LimitReport{0.5, 60};
+    reported_at = driver.now;
+    driver.decide({outcome});
+  }
+
+  static Settings settings() {
+    Settings settings = makeSettings();
+    settings.sender_count = 47;
+    settings.max_in_flight = 50;
+    settings.classes[0].deadline = 100 * kS;
+    return settings;
+  }
+
+  int startsWithin(Micros span) {
+    int started_count = 0;
+    while (driver.now < reported_at + span)
+      started_count += static_cast<int>(driver.advanceTo(driver.now + 10 * kMs).fireTimer().size());
+    return started_count;
+  }
+};
+
+// The gap that the estimate had set was 20 s.
+TEST(RateLimiter, FirstReportedLimitSetsTheNextCall) {
+  FirstReport first_report;
+  EXPECT_GE(first_report.startsWithin(2 * kS), 1);
+}
+
+// The quota of the estimate was 0.19; of the reported limit this is 11 calls a second.
+TEST(RateLimiter, FirstReportedLimitReducesQuotaOfEstimate) {
+  FirstReport first_report;
+  const double slow_start_seconds = 11;
+  const double own_rate = FirstReport::kMessages / slow_start_seconds;
+  EXPECT_LE(first_report.startsWithin(4 * kS), 4 * 2 * own_rate);  // two shares by its demand
+}
+
 TEST(RateLimiter, ReducesQuotaToOneShareAfterRejectionInLargeFleet) {
   EXPECT_LE(startsWithin4Seconds(100, AttemptResult::rejected, 0.5),
             80);  // 129 when the quota starts at two shares
