Configuration: a sender whose file has no seed draws one

What each draws to spread its calls, retries and polls came out the same in all of them.

ConfigFile.SendersWithoutASeedHaveDifferentSeeds fails with the draw taken out (0 and 0) and passes now. Standalone senders drew a seed before; the function is shared.

--- a/src/daemon/config.cpp
+++ b/src/daemon/config.cpp
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <cstdlib>
+#include <random>
 
 #include "../config/json_file.h"
 #include "../decision/settings_check.h"
@@ -31,7 +32,7 @@
 
 std::uint64_t readSeed(const json& document) {
   if (!document.contains("seed"))
-    return 0;
+    return randomSeed();
   const json& seed = field(document, "seed");
   if (seed.is_number_unsigned())
     return seed.get<std::uint64_t>();
@@ -91,6 +92,12 @@
   return settings;
 }
 
+std::uint64_t randomSeed() {
+  std::random_device device;
+  const std::uint64_t high_bits = device();
+  return high_bits << 32 | device();
+}
+
 Config readConfig() {
   const std::string path = environmentVariable("GW_CONFIG", "");
   if (path.empty())
--- a/src/daemon/config.h
+++ b/src/daemon/config.h
@@ -29,6 +29,8 @@
   json document;  // the file as it was read, for comparison with the next version
 };
 
+/// A seed that differs between the processes of a fleet, so that their random decisions are independent.
+std::uint64_t randomSeed();
 /// Reads the settings of a configuration file. Throws std::exception that says what is wrong with the file.
 Settings readSettingsFile(const std::string& path);
 /// Reads the configuration. Throws std::exception that says what is wrong with the file or the environment.
--- a/src/daemon/site.cpp
+++ b/src/daemon/site.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <filesystem>
 #include <map>
-#include <random>
 
 #include "../decision/settings_check.h"
 #include "../membership/partner_file.h"
@@ -171,7 +170,7 @@
     throw std::runtime_error("the journal's folder " + folder.string() +
                              " can't be created: " + error.message());
   config.state_folder = folder.string();
-  config.seed = std::random_device()() | static_cast<std::uint64_t>(std::random_device()()) << 32;
+  config.seed = randomSeed();
   config.disk_bytes = standalone.disk_bytes;
   config.memory_bytes = standalone.memory_bytes;
   config.max_descriptors = standalone.max_descriptors;
