--- a/harness/delivery_checker.cpp
+++ b/harness/delivery_checker.cpp
@@ -85,6 +85,16 @@
   }
 }
 
+// A delivery is known once its answer has been read. A notice is known before it is sent, also to the next
+// process; a call that was on its way then is let through.
+void DeliveryChecker::called(const Record& r, Micros first_byte) {
+  const bool was_delivered =
+      r.delivered_at != 0 && !r.doubt && first_byte > r.delivered_at + kAnswerReadWithin;
+  const bool was_given_up = r.noticed_at != 0 && first_byte > r.noticed_at + kAnswerReadWithin;
+  if (was_delivered || was_given_up)
+    ++called_after_end;
+}
+
 void DeliveryChecker::shock(Micros at) {
   const std::lock_guard<std::mutex> lock(mutex_);
   shocks_.push_back(at);
@@ -166,7 +176,7 @@
     after_refusal += r.said == Reply::refused && r.runs > 0;
   }
   holds = lost_answers == 0 && lost == 0 && twice == 0 && double_ends == 0 && after_refusal == 0 &&
-          unknown_messages == 0 && drained == 0 && misrouted == 0;
+          unknown_messages == 0 && drained == 0 && misrouted == 0 && called_after_end == 0;
   json all = {{"submitted", size_.load()},
               {"accepted", accepted},
               {"refused", refused},
@@ -181,6 +191,7 @@
               {"run_after_refusal", after_refusal},
               {"strangers", unknown_messages.load()},
               {"misrouted", misrouted.load()},
+              {"calls_after_end", called_after_end.load()},
               {"calls_after_drain", drained.load()}};
   if (!two_ends.empty())
     all["two_ends"] = std::move(two_ends);
--- a/harness/delivery_checker.h
+++ b/harness/delivery_checker.h
@@ -54,6 +54,9 @@
   void answered(Record& r, Reply said, Micros now);
   void delivered(Record& r, Micros now);
   void notice(const std::string& id, Micros now);
+  // A call with the message has come to an endpoint. It counts in `called_after_end` if the sender knew then
+  // that the message had ended.
+  void called(const Record& r, Micros first_byte);
   // The sender died: an outcome that it may not have heard is in doubt, and a notice beside such a delivery
   // is what the rules ask for.
   void died(Micros at);
@@ -62,6 +65,7 @@
   std::atomic<std::uint64_t> unknown_messages{0};  // calls or notices for ids that nobody submitted
   std::atomic<std::uint64_t> drained{0};           // calls begun at a drained endpoint after the grace
   std::atomic<std::uint64_t> misrouted{0};         // calls at an endpoint of another destination
+  std::atomic<std::uint64_t> called_after_end{0};  // calls with a message that had been delivered or given up
 
   // Messages that were taken on and have no end yet; open ones that wait for an answer.
   std::size_t unended() const;
--- a/harness/stand_ins.cpp
+++ b/harness/stand_ins.cpp
@@ -151,6 +151,8 @@
   // The body names the destination that it was meant for.
   if (known && r.body.substr(0, r.body.find(' ')) != std::to_string(destination_))
     ++ledger_.misrouted;
+  if (known)
+    ledger_.called(*record, r.first_byte);
   if (standing_) {
     const std::string instead = standing_->answerTo(&ledger_, r.first_byte, now);
     if (!instead.empty()) {
--- a/tests/harness/delivery_checker_test.cpp
+++ b/tests/harness/delivery_checker_test.cpp
@@ -66,6 +66,28 @@
   }
 }
 
+// A call that the sender makes once it knows the end, or its next process does, is found; one that was on its
+// way, or whose delivery the sender may not have heard of, is not.
+TEST(Ledger, FindsCallsWithMessagesThatHaveEnded) {
+  constexpr Micros kEnd = 3000, kLater = kEnd + kAnswerReadWithin + 1;
+  Book delivered, given_up, crossing, unheard;
+  delivered.ledger.delivered(delivered.message(), kEnd);
+  delivered.ledger.called(delivered.ledger.at(0), kLater);
+  EXPECT_FALSE(delivered.holds("calls_after_end", 1));
+  given_up.message();
+  given_up.ledger.notice(given_up.ledger.id(given_up.last), kEnd);
+  given_up.ledger.died(kEnd);
+  given_up.ledger.called(given_up.ledger.at(0), kLater);
+  EXPECT_FALSE(given_up.holds("calls_after_end", 1));
+  crossing.ledger.delivered(crossing.message(), kEnd);
+  crossing.ledger.called(crossing.ledger.at(0), kEnd + kAnswerReadWithin);
+  EXPECT_TRUE(crossing.holds("calls_after_end", 0));
+  unheard.ledger.delivered(unheard.message(), kEnd);
+  unheard.ledger.died(kEnd);
+  unheard.ledger.called(unheard.ledger.at(0), kLater);
+  EXPECT_TRUE(unheard.holds("calls_after_end", 0));
+}
+
 // An answer and the end of the message's time cross: no sender can prevent it. Before that time it is a
 // fault.
 TEST(Ledger, AnAnswerThatCrossesTheEndOfItsTimeIsNoSecondEnd) {
