--- a/harness/slow_start.cpp
+++ b/harness/slow_start.cpp
@@ -1,7 +1,7 @@
 // grademux harness: a fleet before destinations that refuse connections for a while and come back cold. Some
 // of the senders are killed round the return and started again. The length of the outage, who is killed and
-// when, are drawn from the seed. All calls of all senders to a returning destination count against its slow
-// start budget.
+// when, are drawn from the seed; traffic is even, rare or comes in crowds. All calls of all senders to a
+// returning destination count against its slow start budget.
 #include <algorithm>
 #include <future>
 
@@ -20,8 +20,31 @@
 constexpr int kKilledOfTen = 8;  // on days on which most senders are killed
 constexpr double kLimit = 60;    // calls a second that a warm destination takes from all senders
 constexpr Micros kBefore = 4 * kSecond, kAfter = 8 * kSecond;
+constexpr Micros kCrowdPeriod = 3 * kSecond, kCrowdLength = 1 * kSecond;
+constexpr double kCrowdFactor = 2.4, kBetweenCrowdsFactor = 0.3;  // of even traffic; the mean is 1
+constexpr double kRareFactor = 0.1;
 const std::vector<Via> kBoth{Via::resp, Via::http};
 
+enum class Traffic : std::uint8_t { rare, crowds, even };
+constexpr int kTrafficKinds = 3;
+
+// Pairs of seeds have the same traffic; of each pair, one day kills most senders and the other one sender.
+Traffic trafficOf(std::uint64_t seed) {
+  return static_cast<Traffic>(seed / 2 % kTrafficKinds);
+}
+
+const char* nameOf(Traffic traffic) {
+  switch (traffic) {
+    case Traffic::rare:
+      return "rare";
+    case Traffic::crowds:
+      return "crowds";
+    case Traffic::even:
+      return "even";
+  }
+  return "";
+}
+
 class SlowStart {
  public:
   explicit SlowStart(const Options& options) : options_(options), random_(options.seed) {
@@ -111,7 +134,7 @@
 
   void loadOnce() {
     const double rate = options_.rate > 0 ? options_.rate : 0.9 * kLimit * kDestinations;
-    const double each = rate / static_cast<double>(senders_.size());
+    const double each = rate * trafficFactor() / static_cast<double>(senders_.size());
     std::vector<std::future<void>> all;
     for (SenderState& sender : senders_)
       all.push_back(std::async(std::launch::async,
@@ -120,6 +143,19 @@
       one.get();
   }
 
+  double trafficFactor() const {
+    const bool is_crowd = (monotonicNow() - started_at_) % kCrowdPeriod < kCrowdLength;
+    switch (trafficOf(options_.seed)) {
+      case Traffic::rare:
+        return kRareFactor;
+      case Traffic::crowds:
+        return is_crowd ? kCrowdFactor : kBetweenCrowdsFactor;
+      case Traffic::even:
+        return 1;
+    }
+    return 1;
+  }
+
   void refuse(bool on) {
     for (SenderState& sender : senders_)
       sender.environment->onStandIns([&sender, on] {
@@ -129,7 +165,9 @@
   }
 
   json figures() {
-    json all = {{"senders", options_.senders}, {"outage_ms", outage_ / 1000}};
+    json all = {{"senders", options_.senders},
+                {"outage_ms", outage_ / 1000},
+                {"traffic", nameOf(trafficOf(options_.seed))}};
     bool holds = true;
     std::vector<std::future<json>> done;
     for (SenderState& sender : senders_)
@@ -139,8 +177,8 @@
     for (auto& one : done) {
       const json figures = one.get();
       holds = holds && figures["holds"] == true;
-      for (const char* name : {"double_ends", "unsafe_twice", "calls_after_drain", "messages_lost",
-                               "answers_lost", "delivered", "submitted"})
+      for (const char* name : {"double_ends", "unsafe_twice", "calls_after_drain", "calls_after_end",
+                               "messages_lost", "answers_lost", "delivered", "submitted"})
         all[name] = all.value(name, std::int64_t{0}) + figures.value(name, std::int64_t{0});
     }
     std::uint64_t fell = 0, waits = 0;
