--- a/harness/slow_start.cpp
+++ b/harness/slow_start.cpp
@@ -1,6 +1,6 @@
-// grademux harness: a fleet before destinations that refuse connections for a while and come back cold. Some
-// of the senders are killed round the return and started again. The length of the outage, who is killed and
-// when, are drawn from the seed; traffic is even, rare or comes in crowds. All calls of all senders to a
+// grademux harness: a fleet before destinations that have an outage and come back cold. Some of the senders
+// are killed round the return and started again. The seed decides the kind and length of the outage, who is
+// killed and when, and whether traffic is even, rare or comes in crowds. All calls of all senders to a
 // returning destination count against its slow start budget.
 #include <algorithm>
 #include <future>
@@ -28,6 +28,26 @@
 enum class Traffic : std::uint8_t { rare, crowds, even };
 constexpr int kTrafficKinds = 3;
 
+enum class Outage : std::uint8_t { refuse, hang, shut };
+constexpr int kOutageKinds = 3;
+
+// Six seeds in a row have the same kind of outage: the days of each traffic.
+Outage outageOf(std::uint64_t seed) {
+  return static_cast<Outage>(seed / (2 * kTrafficKinds) % kOutageKinds);
+}
+
+const char* nameOf(Outage outage) {
+  switch (outage) {
+    case Outage::refuse:
+      return "refuse";
+    case Outage::hang:
+      return "hang";
+    case Outage::shut:
+      return "shut";
+  }
+  return "";
+}
+
 // Pairs of seeds have the same traffic; of each pair, one day kills most senders and the other one sender.
 Traffic trafficOf(std::uint64_t seed) {
   return static_cast<Traffic>(seed / 2 % kTrafficKinds);
@@ -71,11 +91,11 @@
       sender.environment->start();
     started_at_ = monotonicNow();
     loadUntil(kBefore);
-    refuse(true);
+    setOutage(true);
     loadUntil(kBefore + outage_);
     for (int d = 0; d < kFailing; ++d)
       states_[static_cast<std::size_t>(d)]->returned = monotonicNow();
-    refuse(false);
+    setOutage(false);
     loadUntil(kBefore + outage_ + kAfter);
     return figures();
   }
@@ -156,16 +176,30 @@
     return 1;
   }
 
-  void refuse(bool on) {
+  void setOutage(bool on) {
     for (SenderState& sender : senders_)
-      sender.environment->onStandIns([&sender, on] {
+      sender.environment->onStandIns([this, &sender, on] {
         for (std::size_t d = 0; d < kFailing; ++d)
-          sender.environment->endpoint(d).refuse(on);
+          setOutage(sender.environment->endpoint(d), on);
       });
   }
 
+  void setOutage(EndpointStandIn& endpoint, bool on) {
+    switch (outageOf(options_.seed)) {
+      case Outage::refuse:
+        return endpoint.refuse(on);
+      case Outage::hang:
+        endpoint.behaviour.silent = on;
+        return;
+      case Outage::shut:
+        endpoint.behaviour.shut = on;
+        return;
+    }
+  }
+
   json figures() {
     json all = {{"senders", options_.senders},
+                {"outage", nameOf(outageOf(options_.seed))},
                 {"outage_ms", outage_ / 1000},
                 {"traffic", nameOf(trafficOf(options_.seed))}};
     bool holds = true;
