--- a/src/core/delivery_engine.cpp
+++ b/src/core/delivery_engine.cpp
@@ -9,6 +9,7 @@
 #include "clock.h"
 #include "engine_recovery.h"
 #include "grademux/class_versions.h"
+#include "record_time.h"
 
 namespace grademux {
 
@@ -62,13 +63,13 @@
     endpoints_.apply(parseEndpointList(list));
     enqueueListSlice(SIZE_MAX, EndpointListKind::cached);
   }
-  journal_.expireHealth(unixNow() - kHealthRetention);
-  const Micros to_monotonic = monotonicNow() - unixNow();
+  journal_.expireHealth(recordTimeNow() - kHealthRetention);
+  const Micros to_monotonic = monotonicNow() - recordTimeNow();
   appendTrustedState(events_, learned, endpoints_.list(), policy, to_monotonic);
   appendTrustedHealth(events_, recovered.health, policy, settings_.slow_start_time, to_monotonic);
-  journal_.expireOrderingBlocks(unixNow());
+  journal_.expireOrderingBlocks(recordTimeNow());
   for (const OrderingKeyBlocked& block : recovered.ordering_blocks)
-    if (!block.finished_message.empty() || block.until > unixNow())
+    if (!block.finished_message.empty() || block.until > recordTimeNow())
       events_.emplace_back(toRecoveredBlock(block, to_monotonic, known));
   for (const JournalEntry& entry : recovered.entries) {
     if (entry.notice_pending) {
@@ -241,7 +242,7 @@
   arrival.destination = message.destination;
   arrival.deadline = monotonicNow() + submission.time_to_live;
   arrival.resubmitted = message.resubmitted;
-  message.deadline = unixNow() + submission.time_to_live;
+  message.deadline = recordTimeNow() + submission.time_to_live;
   OpenMessage open;
   open.message = std::move(message);
   open.digest = digest;
--- a/src/core/delivery_engine_iteration.cpp
+++ b/src/core/delivery_engine_iteration.cpp
@@ -10,6 +10,7 @@
 #include "delivery_engine.h"
 #include "engine_log.h"
 #include "engine_recovery.h"
+#include "record_time.h"
 
 namespace grademux {
 
@@ -109,14 +110,14 @@
 void DeliveryEngine::recordHealth(DestinationHealth health) {
   logHealth(log::Event::destination_health_changed, health, scheduler_.lastIteration(),
             settings_.slow_start_time);
-  shiftMoments(health, unixNow() - scheduler_.lastIteration());
+  shiftMoments(health, recordTimeNow() - scheduler_.lastIteration());
   journal_.recordHealth(health);
   if (on_health_changed_)
     on_health_changed_();
 }
 
 void DeliveryEngine::recordOrderingBlock(OrderingKeyBlocked block) {
-  const Micros now = unixNow();
+  const Micros now = recordTimeNow();
   shiftMoments(block, now - scheduler_.lastIteration());
   journal_.recordOrderingBlock(block, now);
 }
@@ -148,7 +149,7 @@
       continue;
     }
     const std::uint32_t version = action_guard_ ? journal_.versionOf(action_guard_->version()) : 0;
-    journal_.recordAttempt(start->id, {start->endpoint, unixNow(), false, version});
+    journal_.recordAttempt(start->id, {start->endpoint, recordTimeNow(), false, version});
     planned.push_back({start, open->attempts++, version});
   }
   return planned;
@@ -230,7 +231,7 @@
   });
   if (end == actions.end() || !export_callback_)
     return;
-  const Micros to_unix = unixNow() - monotonicNow();
+  const Micros to_unix = recordTimeNow() - monotonicNow();
   std::vector<LearnedRecord> records;
   for (const Action& action : actions)
     if (const auto* learned = std::get_if<LearnedEndpoint>(&action))
--- a/src/core/engine_recovery.cpp
+++ b/src/core/engine_recovery.cpp
@@ -2,9 +2,9 @@
 
 #include <utility>
 
-#include "clock.h"
 #include "clock_offset.h"
 #include "engine_log.h"
+#include "record_time.h"
 
 namespace grademux {
 
@@ -82,7 +82,7 @@
 
 void appendTrustedState(std::vector<Event>& events, const LearnedState& learned,
                         const EndpointList& endpoints, const TrustPolicy& policy, Micros to_monotonic) {
-  const Micros now = unixNow();
+  const Micros now = recordTimeNow();
   LearnedPool pool = policy.trustedPart(learned.pool, now);
   shiftMoments(pool, to_monotonic);
   if (pool.latency_samples > 0 || pool.stale_connection_score > 0)
@@ -101,9 +101,9 @@
 void appendTrustedHealth(std::vector<Event>& events, const std::vector<DestinationHealth>& health,
                          const TrustPolicy& policy, Micros slow_start_time, Micros to_monotonic) {
   for (DestinationHealth trusted : health) {
-    if (!policy.reduceToTrusted(trusted, unixNow(), slow_start_time))
+    if (!policy.reduceToTrusted(trusted, recordTimeNow(), slow_start_time))
       continue;
-    logHealth(log::Event::destination_health_restored, trusted, unixNow(), slow_start_time);
+    logHealth(log::Event::destination_health_restored, trusted, recordTimeNow(), slow_start_time);
     shiftMoments(trusted, to_monotonic);
     events.emplace_back(std::move(trusted));
   }
--- a/src/core/final_outcomes.cpp
+++ b/src/core/final_outcomes.cpp
@@ -5,6 +5,7 @@
 #include "../log/log.h"
 #include "clock.h"
 #include "engine_recovery.h"
+#include "record_time.h"
 
 namespace grademux {
 
@@ -19,7 +20,7 @@
 void FinalOutcomes::recordReported(const std::string& id, AttemptResult result, Micros remember_for) {
   const FinalStatus status = result == AttemptResult::ok ? FinalStatus::delivered : FinalStatus::withdrawn;
   const FinalOutcome outcome{status, unixNow(), 0};
-  journal_.recordFinished(id, {outcome, registry_.findOpen(id)->digest, unixNow() + remember_for});
+  journal_.recordFinished(id, {outcome, registry_.findOpen(id)->digest, recordTimeNow() + remember_for});
   finish(id, outcome);
 }
 
@@ -38,14 +39,14 @@
                                               {"outcome", nameOf(outcome.status)},
                                               {"attempts", registry_.findOpen(id)->attempts}});
   registry_.finish(id, outcome);
-  journal_.expireFinished(unixNow());
+  journal_.expireFinished(recordTimeNow());
 }
 
 void FinalOutcomes::onNoticeDelivered(const std::string& id, Micros remember_for) {
   std::optional<FinishedMessage> finished = registry_.takePendingNotice(id);
   if (!finished)
     return;
-  finished->remember_until = unixNow() + remember_for;
+  finished->remember_until = recordTimeNow() + remember_for;
   journal_.recordFinished(id, *finished);
 }
 
--- a/src/daemon/sender_components.cpp
+++ b/src/daemon/sender_components.cpp
@@ -1,9 +1,12 @@
 // The parts of one sending process and their wiring; see sender_components.h.
 #include "sender_components.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "../core/clock.h"
+#include "../core/record_time.h"
+#include "../log/log.h"
 #include "../membership/partner_names.h"
 #include "../net/address.h"
 #include "connection_budget.h"
@@ -160,8 +163,13 @@
   const Config& config = components.config;
   checkRequestMemory(config, components.daemon_file);
   components.listeners.bind(components.daemon_file.listeners);
+  const std::string error = useRecordTimeOf(config.state_folder);
+  if (!error.empty())
+    log::write(log::Event::journal_time_unstored, {{"cause", error}});
   // The journal is opened once every address is bound: a process that can't start leaves it unchanged.
-  components.journal = std::make_unique<Journal>(config.state_folder, divideMemory(config).journal);
+  const std::uint64_t journal_bytes = divideMemory(config).journal;
+  components.journal = std::make_unique<Journal>(
+      config.state_folder, journal_bytes - std::min(journal_bytes, kRecordTimeDiskBytes));
   createNotifier(components);
   createTransport(components, callbacks);
   createEngine(components);
--- a/src/knowledge/learned_state_store.cpp
+++ b/src/knowledge/learned_state_store.cpp
@@ -8,6 +8,7 @@
 
 #include "../core/clock.h"
 #include "../core/file.h"
+#include "../core/record_time.h"
 #include "../log/log.h"
 
 namespace grademux::knowledge {
@@ -38,7 +39,7 @@
     return {};
   if (decoded.damaged > 0)
     log::write(log::Event::knowledge_damaged, {{"records", decoded.damaged}});
-  const Micros age = unixNow() - decoded.state.written;
+  const Micros age = recordTimeNow() - decoded.state.written;
   log::write(log::Event::knowledge_read, {{"records", decoded.state.records.size()},
                                           {"age_ms", age / 1000},
                                           {"took_us", monotonicNow() - started_at}});
@@ -121,7 +122,7 @@
 
 void LearnedStateStore::write() {
   state_.sender = sender_;
-  state_.written = unixNow();
+  state_.written = recordTimeNow();
   const std::uint64_t max_bytes = maxFileBytes();
   report_bytes_(2 * max_bytes);
   writing_ = true;
@@ -160,7 +161,7 @@
   timer_.cancel();
   if (!config_.enabled || writing_)
     return;  // a write in progress has nearly the same content
-  LearnedStateFile file{std::move(state), sender_, unixNow()};
+  LearnedStateFile file{std::move(state), sender_, recordTimeNow()};
   onWritten(writeFile(path_, file, maxFileBytes()));
 }
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -21,6 +21,7 @@
   journal_tail_truncated,
   journal_list_too_large,
   journal_write_failed,
+  journal_time_unstored,
   operate_changed,
   handover_released,
   handover_acquired,
@@ -104,6 +105,9 @@
      "the endpoint list is too large to be journaled; after a restart it must come from its source"},
     {Event::journal_write_failed, "journal.write_failed", Level::error, "",
      "the journal can't be written; no message is accepted until it can"},
+    {Event::journal_time_unstored, "journal.time_unstored", Level::warning, "cause",
+     "the time base of the state folder can't be stored: after a step of the system clock the next process "
+     "misjudges the age of what it reads back"},
     {Event::operate_changed, "operate.changed", Level::info, "phase",
      "operators put this process on standby (standby) or returned it to service (serving)"},
     {Event::handover_released, "handover.released", Level::info, "calls",
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -472,11 +472,12 @@
     restart();
   }
   // With the file as it is.
-  void restart(const std::map<std::string, std::string>& variables = {}) {
+  void restart(const std::map<std::string, std::string>& variables = {},
+               const std::string& program = senderProgram()) {
     std::vector<std::string> arguments;
     if (std::filesystem::exists(daemonPath()))
       arguments = {"--daemon", daemonPath()};
-    pid_ = spawn(path(), state_, variables, arguments, logPath());
+    pid_ = spawn(path(), state_, variables, arguments, logPath(), -1, program);
     const auto until = std::chrono::steady_clock::now() + kLong;
     while (std::chrono::steady_clock::now() < until) {
       Client c(port_);
@@ -496,8 +497,8 @@
   static pid_t spawn(const std::string& config, const std::string& state,
                      const std::map<std::string, std::string>& variables = {},
                      const std::vector<std::string>& arguments = {}, const std::string& log = "",
-                     int passed = -1) {
-    std::vector<std::string> command = {senderProgram()}, all = {"GW_CONFIG=" + config, "GW_STATE=" + state};
+                     int passed = -1, const std::string& program = senderProgram()) {
+    std::vector<std::string> command = {program}, all = {"GW_CONFIG=" + config, "GW_STATE=" + state};
     command.insert(command.end(), arguments.begin(), arguments.end());
     for (const char* name : {"GW_LISTEN", "GW_DISCOVERY"})
       if (!variables.count(name))
