--- a/src/core/journal.h
+++ b/src/core/journal.h
@@ -1,7 +1,8 @@
 // The journal of the messages that this sender has accepted: an append-only file of checksummed records. Each
 // record is written before any action that depends on it; a compaction writes a new file and renames it over
-// the old one. Stored times are Unix time, which is comparable across processes. The journal makes no
-// decisions. The caller must hold the lock of the state folder, but not for readMessage().
+// the old one. Stored times are in the time base of the folder (record_time.h), which is comparable across
+// processes; below it is called Unix time. The journal makes no decisions. The caller must hold the lock of
+// the state folder, but not for readMessage().
 //
 // Used from the loop thread alone, but readMessage() from any thread or process.
 #pragma once
--- a/src/core/journal_types.h
+++ b/src/core/journal_types.h
@@ -24,7 +24,7 @@
 // One attempt of a message.
 struct JournaledAttempt {
   std::string endpoint;
-  Micros sent_at = 0;  // Unix time
+  Micros sent_at = 0;  // in the time base of the state folder (record_time.h)
   bool never_executed = false;
   std::uint32_t version = 0;  // number of the decision version that it was decided under; 0: none recorded
 };
@@ -40,7 +40,7 @@
 struct FinishedMessage {
   FinalOutcome outcome;
   std::uint64_t digest = 0;    // contentDigest() of the message
-  Micros remember_until = 0;   // Unix time
+  Micros remember_until = 0;   // in the time base of the state folder
   bool legacy_digest = false;  // `digest` is legacyContentDigest() instead
   std::uint32_t version = 0;   // decision version of the last attempt; 0: none recorded
 };
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -19,7 +19,7 @@
 struct AcceptedMessage {
   std::string id, message_class, ordering_key, idempotency_key, body;
   std::int64_t destination = 0;
-  Micros deadline = 0;  // Unix time
+  Micros deadline = 0;  // in the time base of the state folder (record_time.h)
   bool resubmitted = false;
   // The class as it was when the message was accepted; null in journals from before class versions were
   // stored.
--- a/tests/daemon/config_test.cpp
+++ b/tests/daemon/config_test.cpp
@@ -43,8 +43,8 @@
 }
 
 TEST_F(ConfigFile, SeedOfTheFileHolds) {
-  document_["seed"] = "8c1f30d27a5be964";
-  EXPECT_EQ(read().seed, 0x8c1f30d27a5be964u);
+  document_["seed"] = "0123456789abcdef";
+  EXPECT_EQ(read().seed, 0x0123456789abcdefu);
 }
 
 }  // namespace
