HTTP connection: a response is read to its end as long as it makes progress

What callers saw: an endpoint's rejection that comes steadily, but takes more than 0.4 s from its first byte to its last, counted as an attempt that may have run: a payment was given up, though it never ran.

Cause: every response had 400 ms from its first byte to its last (kResponseLimit), whatever limit its caller gave, in the one class that attempts, discovery, notices and the plan store use.

Change: the 400 ms are for the time until the next piece (HttpRequest::stall_limit, which a caller sets); the limit of the exchange binds the whole. Beside it, for the callers: a limit for the first byte, an end at the head where no body is needed, a call at the first byte, and how far the response has come (bytes, times since the first and the last), for the log. What an attempt does with a 429's head (30 ms) and with silence after a first piece (400 ms) is as before.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -18,11 +18,17 @@
 
 void HttpConnection::State::begin(HttpRequest request, Micros connect_limit, Micros limit, Done then) {
   const TimePoint now = Clock::now();
+  started_at = now;
   deadline = now + std::chrono::microseconds(limit);
-  const Micros write_limit = std::min(limit, request.write_within);
+  begin_deadline = now + std::chrono::microseconds(std::min(limit, request.begin_within));
+  const Micros write_limit = std::min({limit, request.write_within, request.begin_within});
   write_deadline = now + std::chrono::microseconds(write_limit);
   is_write_allowed = std::move(request.is_write_allowed);
   on_set_aside = std::move(request.on_set_aside);
+  is_body_awaited = std::move(request.is_body_awaited);
+  on_response_begun = std::move(request.on_response_begun);
+  stall_limit = request.stall_limit;
+  bytes_received = 0;
   earliest_response = request.earliest_response;
   keeps_body = request.needs_response_body;
   out = serializeRequest(std::move(request), host);
@@ -113,7 +119,7 @@
   written = true;
   written_at = Clock::now();
   releaseBuffer(out);
-  setTimer(exchange, remaining(deadline));
+  setTimer(exchange, remaining(begin_deadline));
   read(exchange);
 }
 
@@ -166,6 +172,10 @@
   return state_->settle();
 }
 
+ExchangeProgress HttpConnection::progress() const {
+  return state_->progress();
+}
+
 bool HttpConnection::isWritten() const {
   return state_->written;
 }
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -25,7 +25,7 @@
   HttpConnection& operator=(const HttpConnection&) = delete;
 
   // Sends a request. Done is called once, from the event loop, never from within this call. Both limits are
-  // in microseconds.
+  // in microseconds; `limit` is for the whole exchange.
   void exchange(HttpRequest request, Micros connect_limit, Micros limit, Done done);
   // Cancels the pending exchange and returns its result so far, without waiting; its Done is not called. The
   // result `answered` means that the response, or a status line with 200, had already arrived. Returns
@@ -39,7 +39,8 @@
   // Whether the last byte of the current request has been passed to the kernel, so that the peer may receive
   // it.
   bool isWritten() const;
-  bool isReusable() const;  // open, idle, and not closed by the peer
+  bool isReusable() const;            // open, idle, and not closed by the peer
+  ExchangeProgress progress() const;  // of the pending exchange
 
  private:
   struct State;
--- a/src/net/http_connection_responses.cpp
+++ b/src/net/http_connection_responses.cpp
@@ -12,9 +12,8 @@
 
 namespace {
 
-constexpr std::size_t kReadSize = 16384;    // bytes in one read
-constexpr int kMaxReads = 4;                // reads in a row before other handlers run
-constexpr Micros kResponseLimit = 400'000;  // microseconds from a response's first byte to its last
+constexpr std::size_t kReadSize = 16384;  // bytes in one read
+constexpr int kMaxReads = 4;              // reads in a row before other handlers run
 // The limit for the rest of a 429 response, in microseconds from its complete head on: the Retry-After time
 // runs from when the response was written, and no other attempt learns of it until the exchange is finished.
 constexpr Micros kRetryAfterResponseLimit = 30'000;
@@ -36,11 +35,14 @@
   if (!written)
     return finish(ExchangeResult::not_written);
   const bool was_within_response = within_response;
+  const std::size_t received_before = bytes_received;
   // The response may have arrived in time if this process was late to read it.
   if (readAvailable(exchange))
     return;
   if (within_response && !was_within_response)
-    return setTimer(exchange, retry_after_received ? kRetryAfterResponseLimit : kResponseLimit);
+    return setTimer(exchange, retry_after_received ? kRetryAfterResponseLimit : stall_limit);
+  if (bytes_received > received_before && !retry_after_received && timeLeft() > 0)
+    return;  // the response made progress: its timer is set
   within_response ? end(AnswerReader::State::malformed) : finish(ExchangeResult::timed_out);
 }
 
@@ -66,9 +68,7 @@
       end(error == asio::error::eof ? reader->parseEnd() : AnswerReader::State::malformed);
       return true;
     }
-    if (!response_started)
-      first_byte_at = Clock::now();
-    response_started = true;
+    recordReceived(size);
     in.append(buffer, size);
     if (parseResponses(exchange))
       return true;
@@ -76,9 +76,24 @@
   return false;
 }
 
+void HttpConnection::State::recordReceived(std::size_t size) {
+  const bool is_first = bytes_received == 0;
+  bytes_received += size;
+  last_byte_at = Clock::now();
+  if (!response_started)
+    first_byte_at = last_byte_at;
+  response_started = true;
+  if (is_first && on_response_begun)
+    on_response_begun();
+}
+
 bool HttpConnection::State::parseResponses(std::uint64_t exchange) {
   for (;;) {
     const AnswerReader::State state = reader->parse(in);
+    if (state == AnswerReader::State::partial && isHeadEnough()) {
+      finish(ExchangeResult::answered);
+      return true;
+    }
     if (state == AnswerReader::State::partial) {
       setResponseTimer(exchange);
       return false;
@@ -127,7 +142,6 @@
 }
 
 void HttpConnection::State::setResponseTimer(std::uint64_t exchange) {
-  const bool has_begun = reader->isWithinResponse() && !within_response;
   const bool was_interim = !reader->isWithinResponse() && within_response;
   within_response = reader->isWithinResponse();
   const bool has_retry_after_head =
@@ -135,13 +149,18 @@
   if (has_retry_after_head && !retry_after_received) {
     retry_after_received = true;
     setTimer(exchange, std::min(kRetryAfterResponseLimit, timeLeft()));
-  } else if (has_begun) {
-    setTimer(exchange, std::min(kResponseLimit, timeLeft()));
+  } else if (within_response && !retry_after_received) {
+    setTimer(exchange, std::min(stall_limit, timeLeft()));
   } else if (was_interim) {
     setTimer(exchange, timeLeft());
   }
 }
 
+bool HttpConnection::State::isHeadEnough() const {
+  return is_body_awaited && reader->isHeadComplete() &&
+         !is_body_awaited(static_cast<int>(reader->head().result_int()));
+}
+
 void HttpConnection::State::end(AnswerReader::State state) {
   const bool complete = state == AnswerReader::State::complete;
   finish(complete || isConfirmedByStatus() ? ExchangeResult::answered : ExchangeResult::broken, complete);
@@ -187,6 +206,7 @@
   answer.reused = reused;
   answer.repeats_earlier = complete && history.contains(response_digest);
   answer.discarded_copy = set_aside.has_value();
+  answer.progress = progress();
   answer.status_line = reader->statusLine();
   if (written && reused)
     answer.idle_time = microsBetween(idle_since, written_at);
@@ -198,12 +218,24 @@
       answer.fields.emplace_back(toLower(std::string(field.name_string())), std::string(field.value()));
   }
   if (how == ExchangeResult::answered)
-    answer.status = complete ? answer.head_status : 200;
+    answer.status = answer.head_status > 0 ? answer.head_status : static_cast<int>(kOk);
   if (complete)
     answer.body = reader->head().body();
   return answer;
 }
 
+ExchangeProgress HttpConnection::State::progress() const {
+  const TimePoint now = Clock::now();
+  ExchangeProgress progress;
+  progress.bytes_received = bytes_received;
+  progress.since_start = microsBetween(started_at, now);
+  if (bytes_received > 0) {
+    progress.since_first_byte = microsBetween(first_byte_at, now);
+    progress.since_last_byte = microsBetween(last_byte_at, now);
+  }
+  return progress;
+}
+
 std::optional<HttpAnswer> HttpConnection::State::cancel() {
   HttpAnswer last;
   Done original = std::exchange(done, [&last](const HttpAnswer& answer) { last = answer; });
--- a/src/net/http_connection_state.h
+++ b/src/net/http_connection_state.h
@@ -38,20 +38,25 @@
   Done done;
   std::function<bool()> is_write_allowed;
   std::function<void(const HttpAnswer&)> on_set_aside;
+  std::function<bool(int status)> is_body_awaited;
+  std::function<void()> on_response_begun;
   // Counters of exchanges started or finished and of timers set. A handler with an earlier number is ignored:
   // a handler that is already queued can't be cancelled.
   std::uint64_t exchange_number = 0, timer_number = 0;
   bool open = false, written = false, response_started = false, keep = false, reused = false;
-  bool keeps_body = true;               // the body of the response is needed
-  bool within_response = false;         // a response has begun, other than a complete interim response
-  bool retry_after_received = false;    // the complete head of a 429 has arrived
-  std::uint64_t response_digest = 0;    // of the complete response
-  std::optional<HttpAnswer> set_aside;  // a response of the current exchange that is likely a late copy
-  Micros earliest_response = 0;         // of the current request
-  TimePoint deadline, write_deadline;
-  TimePoint written_at, first_byte_at;  // of the current exchange, valid if `written`, `response_started`
-  TimePoint set_aside_at;               // valid if `set_aside`
-  TimePoint idle_since;                 // end of the previous exchange, valid if `reused`
+  bool keeps_body = true;                   // the body of the response is needed
+  bool within_response = false;             // a response has begun, other than a complete interim response
+  bool retry_after_received = false;        // the complete head of a 429 has arrived
+  std::uint64_t response_digest = 0;        // of the complete response
+  std::optional<HttpAnswer> set_aside;      // a response of the current exchange that is likely a late copy
+  Micros earliest_response = 0;             // of the current request
+  Micros stall_limit = kDefaultStallLimit;  // of the current request
+  std::size_t bytes_received = 0;           // of the current exchange
+  TimePoint started_at, deadline, write_deadline, begin_deadline;
+  // Of the current exchange, valid if `written`, `response_started`, `bytes_received`.
+  TimePoint written_at, first_byte_at, last_byte_at;
+  TimePoint set_aside_at;  // valid if `set_aside`
+  TimePoint idle_since;    // end of the previous exchange, valid if `reused`
 
   // ---- connecting and writing
   void begin(HttpRequest request, Micros connect_limit, Micros limit, Done then);
@@ -74,6 +79,7 @@
   void read(std::uint64_t exchange);
   // Reads the bytes that have arrived, without waiting. Returns true if they ended the exchange.
   bool readAvailable(std::uint64_t exchange);
+  void recordReceived(std::size_t size);
   // Parses the bytes in `in`. Returns true if they ended the exchange.
   bool parseResponses(std::uint64_t exchange);
   // HTTP/1.1 has no identifier that relates a response to its request (RFC 9112, section 9.2): time and
@@ -87,9 +93,11 @@
   void setResponseAside(std::uint64_t exchange);
   // The time until the exchange ends without another response.
   Micros timeLeft() const;
-  // Limits the time for the rest of a partial response. Between an interim response and the final one, the
-  // limit is that of the exchange: the endpoint is still executing the request.
+  // Limits the time until the next piece of a partial response. Between an interim response and the final
+  // one, the limit is that of the exchange: the endpoint is still executing the request.
   void setResponseTimer(std::uint64_t exchange);
+  // Whether the head is complete and no body is awaited.
+  bool isHeadEnough() const;
   // Ends the exchange with the state of its response.
   void end(AnswerReader::State state);
   // Whether the response that is set aside is taken for the request's own: no other one has come. Bytes that
@@ -100,6 +108,7 @@
   // Ends the exchange and calls `done`.
   void finish(ExchangeResult how, bool complete = false);
   HttpAnswer buildAnswer(ExchangeResult how, bool complete) const;
+  ExchangeProgress progress() const;
   std::optional<HttpAnswer> cancel();  // see HttpConnection
   HttpAnswer settle();                 // see HttpConnection
 };
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -12,6 +12,7 @@
 namespace grademux {
 
 constexpr Micros kNoLimit = std::numeric_limits<Micros>::max();
+constexpr Micros kDefaultStallLimit = 400'000;  // microseconds
 
 struct HttpAnswer;
 
@@ -36,6 +37,23 @@
   Micros earliest_response = 0;
   // Called when a response is set aside, with that response; may be empty. Must not use the connection.
   std::function<void(const HttpAnswer&)> on_set_aside;
+  // Time limit for the first byte of the response, in microseconds from the call of exchange().
+  Micros begin_within = kNoLimit;
+  // A response that has begun is read to its end as long as each next piece comes within this time, and the
+  // limit of the exchange has not passed. Microseconds.
+  Micros stall_limit = kDefaultStallLimit;
+  // Whether the body of a response with this status is awaited; if not, the exchange ends with the complete
+  // head. An empty function awaits every body.
+  std::function<bool(int status)> is_body_awaited;
+  // Called with the first byte of the response; may be empty. Must not use the connection.
+  std::function<void()> on_response_begun;
+};
+
+// How far the response of an exchange has come. Times in microseconds.
+struct ExchangeProgress {
+  std::size_t bytes_received = 0;
+  Micros since_start = 0;                              // since the call of exchange()
+  Micros since_first_byte = -1, since_last_byte = -1;  // -1: no byte has come
 };
 
 enum class ExchangeResult {
@@ -53,7 +71,8 @@
   ExchangeResult how = ExchangeResult::not_written;
   int status = 0;                 // of a response that can be trusted
   bool response_started = false;  // at least one byte of the response arrived
-  // The response is complete and well-formed. If false on `answered`, only the status line with 200 is valid.
+  // The response is complete and well-formed. If false on `answered`, only the status line with 200 is valid,
+  // or the head, if HttpRequest::is_body_awaited asks for no more.
   bool complete = false;
   bool reused = false;  // the request used the connection of an earlier exchange
   // The response repeats an earlier one of the same connection: it may be a late copy.
@@ -64,8 +83,9 @@
   // How long the reused connection had been idle when the last byte of the request was written, and how long
   // after that the first byte of the response arrived, in microseconds; -1: neither happened.
   Micros idle_time = -1, first_byte_delay = -1;
-  std::string status_line;  // as received, also if malformed; at most AnswerReader::kFirstLineLimit bytes
-  int head_status = 0;      // of a complete head, also if the body is truncated; 0: no complete head
+  ExchangeProgress progress;  // when the exchange ended
+  std::string status_line;    // as received, also if malformed; at most AnswerReader::kFirstLineLimit bytes
+  int head_status = 0;        // of a complete head, also if the body is truncated; 0: no complete head
   std::vector<std::pair<std::string, std::string>> fields;  // of that head, with names in lower case
   std::string body;                                         // of a complete response, if needed
   // The value of a field, whose name is given in lower case; null if the head has no such field.
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -108,11 +108,16 @@
   }
 };
 
-// What a server does with a request: bytes to answer, and whether it then ends the connection, resets it, or
-// (with neither) keeps it.
+// What a server does with a request: bytes to answer, further pieces, each after a pause, and whether it then
+// ends the connection, resets it, or (with neither) keeps it.
 struct Act {
+  struct Piece {
+    std::chrono::milliseconds pause;
+    std::string bytes;
+  };
   std::string bytes;
   bool close = false, reset = false, silent = false;
+  std::vector<Piece> pieces = {};
 };
 inline std::string answer(const std::string& status, const std::string& fields = "",
                           const std::string& body = "") {
@@ -156,6 +161,14 @@
         connections_.emplace_back([this, fd, id = n++] { serve(fd, id); });
     }
   }
+  void sendAfterPause(int fd, const Act::Piece& piece) const {
+    const auto at = std::chrono::steady_clock::now() + piece.pause;
+    while (!stop_ && std::chrono::steady_clock::now() < at)
+      std::this_thread::sleep_for(std::min<std::chrono::nanoseconds>(
+          20ms, std::max<std::chrono::nanoseconds>(0ns, at - std::chrono::steady_clock::now())));
+    if (!stop_)
+      (void)!::send(fd, piece.bytes.data(), piece.bytes.size(), MSG_NOSIGNAL);
+  }
   void serve(int fd, std::size_t id) {
     std::string in;
     std::size_t on_it = 0;
@@ -180,6 +193,8 @@
           const Act a = script_(s);
           if (!a.bytes.empty())
             (void)!::send(fd, a.bytes.data(), a.bytes.size(), MSG_NOSIGNAL);
+          for (const Act::Piece& piece : a.pieces)
+            sendAfterPause(fd, piece);
           reset = a.reset;
           if (a.close || a.reset)
             break;
--- a/tests/transport/http_transport_test.cpp
+++ b/tests/transport/http_transport_test.cpp
@@ -593,6 +593,38 @@
   ::close(fd);
 }
 
+// Guards against cutting off a response that comes steadily, but takes longer than a limit from its first
+// byte to its last: a rejection would count as an attempt that may have run, and a payment would be given up.
+TEST(HttpTransport, ReadsResponseThatMakesProgressToItsEnd) {
+  using std::chrono::milliseconds;
+  const std::string text = answer("503 Busy", "", "come again");
+  Server server([&](const Seen&) {
+    Act act{text.substr(0, 5)};
+    for (std::size_t at = 5; at < text.size(); at += 10)
+      act.pieces.push_back({milliseconds(200), text.substr(at, 10)});
+    return act;
+  });
+  TransportFixture fixture;
+  fixture.transport.setAddress("e", server.address(), 0);
+  EXPECT_EQ(AttemptResult::rejected, fixture.runAttempt("m").result);
+}
+
+// Guards against a response that trickles and never ends: it ends with the limit of its attempt.
+TEST(HttpTransport, EndsTricklingResponseAtAttemptLimit) {
+  using std::chrono::milliseconds;
+  constexpr Micros kLimit = 1'000'000;
+  Server server([&](const Seen&) {
+    Act act{"HTTP/1.1 503 Busy\r\nContent-Length: 1000\r\n\r\n"};
+    act.pieces.assign(300, {milliseconds(100), "x"});
+    return act;
+  });
+  TransportFixture fixture;
+  fixture.transport.setAddress("e", server.address(), 0);
+  const auto start = std::chrono::steady_clock::now();
+  EXPECT_EQ(AttemptResult::reset, fixture.runAttempt("m", kLimit).result);
+  EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::microseconds(5 * kLimit));
+}
+
 // Guards against a connect time limit that expires in the same loop iteration as the connection is
 // established. The request is written, and then the handler of the limit, which can't be cancelled any more,
 // reports it as not written: a second effect.
