Plan store: slow answers are read, those that stop are given up

Change: an answer has to begin within the timeout, each piece has to follow within it, and the whole has three timeouts more. The description of a failure tells how the exchange ended and after how many bytes.

Test: ConsulConnections.AnswersThatMakeProgressAreReadToTheirEnd: an answer of three pieces over 0.6 s; one that stops.

--- a/src/fleet/consul.cpp
+++ b/src/fleet/consul.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Micros kConnectTimeout = 1'000'000;
+// An answer that has begun may take so many timeouts more, while each piece comes within one.
+constexpr int kSlowAnswerTimeouts = 3;
 constexpr std::size_t kMaxAnswerBytes = 16u << 20;  // reports of about 20,000 senders
 
 // RFC 4648, section 4. Throws for characters outside the alphabet.
@@ -91,8 +93,9 @@
 }
 
 std::string describeFailure(const HttpAnswer& answer, const std::string& address) {
-  if (answer.how != ExchangeResult::answered)
-    return address + " does not answer";
+  if (answer.how != ExchangeResult::answered || !answer.complete)
+    return address + " does not answer (" + nameOf(answer.how) + " after " +
+           std::to_string(answer.progress.bytes_received) + " bytes)";
   constexpr std::size_t kShownBytes = 120;
   return address + " answers " + std::to_string(answer.status) + " " + answer.body.substr(0, kShownBytes);
 }
@@ -131,7 +134,10 @@
   // applied.
   channel.connection = std::make_unique<HttpConnection>(io_, parseAddress(address), address, kMaxAnswerBytes);
   const Micros connect_timeout = std::min(kConnectTimeout, timeout_);
-  channel.connection->exchange(std::move(call.request), connect_timeout, call.timeout,
+  call.request.begin_within = call.timeout;
+  call.request.stall_limit = timeout_;
+  const Micros limit = call.timeout + kSlowAnswerTimeouts * timeout_;
+  channel.connection->exchange(std::move(call.request), connect_timeout, limit,
                                [this, &channel, read_answer = std::move(call.read_answer),
                                 done = std::move(call.done), address](const HttpAnswer& answer) {
                                  const StoreResult result = readResult(answer, read_answer, address);
--- a/src/fleet/consul.h
+++ b/src/fleet/consul.h
@@ -15,8 +15,8 @@
 class Consul : public Store {
  public:
   /// `addresses`: HOST:PORT of nodes or agents, tried in turn; throws std::invalid_argument if one is
-  /// malformed. `timeout`: for the answer to a request that is not a blocking read; also added to a blocking
-  /// read's wait.
+  /// malformed. `timeout`: for the first byte of the answer to a request that is not a blocking read, and for
+  /// each further piece of any answer; also added to a blocking read's wait.
   Consul(boost::asio::io_context& io, std::vector<std::string> addresses, Micros timeout = 2'000'000);
 
   void read(const std::string& key, std::int64_t index, Micros wait, Callback done) override;
--- a/tests/fleet/consul_test.cpp
+++ b/tests/fleet/consul_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 #include <optional>
 #include <thread>
@@ -88,6 +89,42 @@
   EXPECT_EQ((std::vector<bool>{true, false}), applied);
 }
 
+// Guards against giving up each answer that takes longer than a limit from its first byte to its last,
+// however steadily it comes: the plan would never be known. One that stops is given up.
+TEST(ConsulConnections, AnswersThatMakeProgressAreReadToTheirEnd) {
+  using std::chrono::milliseconds;
+  constexpr Micros kTimeout = 500'000;
+  const std::string body = R"([{"Key":"p/plan","Value":"b25l","ModifyIndex":3}])";
+  const std::string text = loopback::answer("200 OK", "X-Consul-Index: 3\r\n", body);
+  const std::size_t third = text.size() / 3;
+  std::atomic<bool> stops{false};
+  loopback::Server server([&](const loopback::Seen&) {
+    loopback::Act act{text.substr(0, third)};
+    if (stops)
+      return act;
+    act.pieces = {{milliseconds(300), text.substr(third, third)},
+                  {milliseconds(300), text.substr(2 * third)}};
+    return act;
+  });
+  boost::asio::io_context io{1};
+  Consul store(io, {server.address()}, kTimeout);
+  const auto read = [&] {
+    std::optional<StoreResult> result;
+    store.read("p/plan", 0, 0, [&](const StoreResult& answer) { result = answer; });
+    while (!result)
+      io.run_one();
+    return *result;
+  };
+  const StoreResult slow = read();
+  ASSERT_TRUE(slow.has_value()) << slow.error().description;
+  ASSERT_EQ(1u, slow.value().entries.size());
+  EXPECT_EQ("one", slow.value().entries[0].value);
+  stops = true;
+  const StoreResult stopped = read();
+  ASSERT_FALSE(stopped.has_value());
+  EXPECT_NE(std::string::npos, stopped.error().description.find("does not answer"));
+}
+
 TEST_F(ConsulTest, BlockingReadEndsAtAChangeOrAfterItsWait) {
   ASSERT_TRUE(compareAndSwap("one", 0).value().applied);
   const StoreResult first = read();
