Discovery: a slow answer is read beside further polls; the log tells why a poll ended

Hypotheses: the limit of 400 ms for a response, the 1 s for a poll's answer, the parsing, the agent's end. What tells them apart is how the exchange of each poll ended. A trial on the code before, with that in its log: answered, not complete, status line 200, first byte at once, and the next poll 0.4 s and a pause later. So it was the limit on the response. A longer limit moves the fault: an answer that takes longer than any limit is given up each time, one that trickles for ever delays the list by the whole limit, and a limit for the first byte (1 s) had the same effect on agents that begin late.

Change: a poll whose answer is late is not given up. Another one is made beside it: 1 s after the wait is over without a byte, or 1 s after the first byte (1.8 s for the whole list). The first complete answer ends the polls that began before it; an answer that is older than what is known is not applied. At most four polls (three for the whole list); then the last one is replaced, so that the oldest are read to their ends. A 503 ends at its head. After a failed poll the next comes within 0.2 s, after an outage of any length too (up to 1 s before). The file is split: the agent, the watcher, the notices.

Notices, the same cause: a batch had 150 ms for its whole acknowledgement and was given up and sent again for ever; with answers of 0.6 s the same 64 notices went out again and again, and those behind them never. A late batch now stays open, its notices are sent again beside it, those not yet sent first, and any acknowledgement counts.

Log: discovery.poll_ended (debug), discovery.poll_failed and discovery.notices_failed (warning), with the bytes that came and the times since the start, the first and the last byte.

--- a/src/daemon/memory_budget.cpp
+++ b/src/daemon/memory_budget.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <stdexcept>
 
-#include "../discovery/discovery.h"
+#include "../discovery/agent.h"
 
 namespace grademux {
 
--- a/src/daemon/sender_components.h
+++ b/src/daemon/sender_components.h
@@ -9,7 +9,8 @@
 
 #include "../admission/admission.h"
 #include "../core/delivery_engine.h"
-#include "../discovery/discovery.h"
+#include "../discovery/endpoint_watcher.h"
+#include "../discovery/notice_client.h"
 #include "../handover/folder_lock.h"
 #include "../handover/handover_source.h"
 #include "../handover/handover_target.h"
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -36,9 +36,12 @@
   fleet_audit_write_failed,
   fleet_baseline_write_failed,
   fleet_zone_changed,
+  discovery_poll_ended,
+  discovery_poll_failed,
   discovery_malformed,
   discovery_restarted,
   discovery_notice_rejected,
+  discovery_notices_failed,
   admission_step_failed,
   admission_step_late,
   record_stopped,
@@ -138,12 +141,27 @@
      "the traffic baseline of evacuated zones can't be saved for the next process"},
     {Event::fleet_zone_changed, "fleet.zone_changed", Level::warning, "zone state",
      "the fleet's state for this zone has changed; a zone that is not listed is active"},
+    {Event::discovery_poll_ended, "discovery.poll_ended", Level::debug,
+     "from hold_ms result status bytes since_start_ms since_first_ms since_last_ms",
+     "a poll of the discovery agent was answered with a list, or is not needed any more; the bytes that "
+     "came, "
+     "and the times since its start, its first and its last byte (-1: none came)"},
+    {Event::discovery_poll_failed, "discovery.poll_failed", Level::warning,
+     "from hold_ms result status bytes since_start_ms since_first_ms since_last_ms",
+     "a poll of the discovery agent ended without a list: how its exchange ended, superseded by the answer "
+     "to "
+     "a later poll, or replaced by a later poll; the other fields are those of discovery.poll_ended"},
     {Event::discovery_malformed, "discovery.malformed", Level::warning, "cause",
      "a response of the discovery agent can't be parsed; the full list is requested"},
     {Event::discovery_restarted, "discovery.restarted", Level::warning, "index",
      "the discovery agent's list has a smaller version than before; the full list is requested"},
     {Event::discovery_notice_rejected, "discovery.notice_rejected", Level::error, "message",
      "the discovery agent rejected a notice as malformed; the notice is not sent again"},
+    {Event::discovery_notices_failed, "discovery.notices_failed", Level::warning,
+     "notices result status bytes since_start_ms since_first_ms since_last_ms",
+     "a batch of notices was not acknowledged; those that are still open are sent again. A late batch goes "
+     "on "
+     "beside the next one"},
     {Event::admission_step_failed, "admission.step_failed", Level::error, "step cause",
      "an admission step failed; the message was refused"},
     {Event::admission_step_late, "admission.step_late", Level::warning, "step",
--- a/tests/core/delivery_engine_test.cpp
+++ b/tests/core/delivery_engine_test.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "../../src/core/clock.h"
-#include "../../src/discovery/discovery.h"
+#include "../../src/discovery/notice_client.h"
 #include "../../src/knowledge/learned_state_file.h"
 #include "../../src/knowledge/trust_decay.h"
 #include "../decision/sender_fixture.h"
--- /dev/null
+++ b/tests/daemon/slow_discovery_test.cpp
@@ -0,0 +1,88 @@
+// The real program beside a discovery agent whose answers are slow: it must stop calling endpoints that
+// drain, and call new ones, in the time in which a change counts as told.
+#include "../support/slow_agent.h"
+
+namespace grademux {
+namespace {
+
+using namespace loopback;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kDestination = 7;
+// A change counts as told so long after discovery had it, and the grace for calls that go out after it.
+constexpr auto kToldAfter = 6000ms;
+constexpr auto kGrace = 300ms;
+
+Act deliver(const Seen&) {
+  return {answer("200 OK")};
+}
+
+json endpointEntry(const std::string& name, const Server& server, const std::string& status = "Ready") {
+  return listed(name, server.address(), kDestination, status);
+}
+
+class SlowDiscoveryOfProgram : public ::testing::TestWithParam<int> {
+ protected:
+  static Pace pace() { return {std::chrono::milliseconds(GetParam())}; }
+  static SlowAgent::Script script() {
+    return [](int) { return pace(); };
+  }
+  // Hands in a message each 100 ms until the endpoint is called, or the change counts as told.
+  void expectCalledInTime(Program& program, Server& ready, Clock::time_point changed_at) {
+    while (ready.seen().empty() && Clock::now() < changed_at + kToldAfter + kGrace) {
+      putMessage(program);
+      std::this_thread::sleep_for(100ms);
+    }
+    EXPECT_FALSE(ready.seen().empty()) << "the endpoint that is ready is not called";
+  }
+  // No call goes to the endpoint that drains from now on.
+  void expectNotCalled(Program& program, Server& drains) {
+    std::this_thread::sleep_for(kGrace);
+    const std::size_t before = drains.seen().size();
+    for (int i = 0; i < 10; ++i) {
+      putMessage(program);
+      std::this_thread::sleep_for(50ms);
+    }
+    EXPECT_EQ(before, drains.seen().size());
+  }
+  void putMessage(Program& program) {
+    Client client(program.port());
+    EXPECT_EQ("+OK", client.put("m" + std::to_string(next_message_++), "notice", kDestination));
+  }
+
+  int next_message_ = 0;
+};
+
+// Guards against lists that are never known because each answer takes longer than a limit: calls to endpoints
+// that drain, and none to those that replace them (review/9).
+TEST_P(SlowDiscoveryOfProgram, EndpointsAreReplacedInTimeAfterAChangeAMoveAndARestart) {
+  Server first(deliver), second(deliver), third(deliver), fourth(deliver);
+  SlowAgent agent(script(), {endpointEntry("e1", first)});
+  SlowAgent moved(script(), {endpointEntry("e3", third)});
+  TempFolder folder;
+  Program program(folder.path(), agent.address(), {endpointEntry("e1", first)});
+  putMessage(program);
+  ASSERT_TRUE(first.waitFor(1));
+
+  auto changed_at = Clock::now();
+  agent.change({endpointEntry("e2", second), endpointEntry("e1", first, "Terminating")});
+  expectCalledInTime(program, second, changed_at);
+  expectNotCalled(program, first);
+
+  changed_at = Clock::now();
+  program.configure("discovery", moved.address());
+  program.signal(SIGHUP);
+  expectCalledInTime(program, third, changed_at);
+  expectNotCalled(program, second);
+
+  program.kill();
+  moved.change({endpointEntry("e4", fourth), endpointEntry("e3", third, "Terminating")});
+  changed_at = Clock::now();
+  program.restart();
+  expectCalledInTime(program, fourth, changed_at);
+  expectNotCalled(program, third);
+}
+INSTANTIATE_TEST_SUITE_P(AnswersTakeMs, SlowDiscoveryOfProgram, ::testing::Values(600, 2500, 4000));
+
+}  // namespace
+}  // namespace grademux
--- a/tests/discovery/poll_schedule_test.cpp
+++ b/tests/discovery/poll_schedule_test.cpp
@@ -3,7 +3,7 @@
 
 #include <queue>
 
-#include "../../src/discovery/discovery.h"
+#include "../../src/discovery/endpoint_watcher.h"
 #include "../../src/net/address.h"
 #include "../support/loopback.h"
 
