Test of ordering key blocks: the time of recovery is read before the timers fire

The expectation read the driver's clock in one argument and moved it in the other; the order of arguments is left to the compiler. As strict as before.

--- a/tests/decision/ordering_key_blocks_test.cpp
+++ b/tests/decision/ordering_key_blocks_test.cpp
@@ -64,7 +64,8 @@
 
   OrderedDriver third;  // after a kill nobody reports the outcome
   third.decide({exported[0], recovered(third, "b", {})});
-  EXPECT_EQ(third.now + kPause, third.fireTimersUntilStart("b", 60 * kS));
+  const Micros recovered_at = third.now;
+  EXPECT_EQ(recovered_at + kPause, third.fireTimersUntilStart("b", 60 * kS));
 }
 
 // Guards against an attempt in flight in the earlier process whose endpoint is no longer listed: its end was
