--- a/src/discovery/notice_client.cpp
+++ b/src/discovery/notice_client.cpp
@@ -186,12 +186,12 @@
 }
 
 void NoticeClient::closeSettledBatches() {
-  const auto isSettled = [this](const Batch& batch) {
+  const auto is_settled = [this](const Batch& batch) {
     const bool is_current = is_waiting_ && batch.number == last_batch_;
     return !is_current && std::none_of(batch.notices.begin(), batch.notices.end(),
                                        [this](Sequence sequence) { return pending_.count(sequence) > 0; });
   };
-  batches_.erase(std::remove_if(batches_.begin(), batches_.end(), isSettled), batches_.end());
+  batches_.erase(std::remove_if(batches_.begin(), batches_.end(), is_settled), batches_.end());
 }
 
 void NoticeClient::requeue(const std::vector<Sequence>& notices, std::deque<Sequence>& queue) {
